--- /dev/null
+++ b/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/rhubarbrock/src/lib.rs
@@ -0,0 +1,18 @@
+//! Decisions of rhubarbrock, without I/O.
+//!
+//! Each module holds one matter as a state that takes events and the time and
+//! gives back what to do. Nothing here opens a socket, reads a clock or starts
+//! a thread, so the same code runs in the daemon, under replay and in
+//! randomised tests.
+//!
+//! ```
+//! use rhubarbrock::id;
+//!
+//! let text = "r00000000000000010000000000000000000000000000002a";
+//! let request: id::RequestId = text.parse().unwrap();
+//! assert_eq!(request.holder, 1);
+//! assert_eq!(request.to_string(), text);
+//! ```
+
+pub mod clock;
+pub mod id;
