Add stand-ins for platform, engines and desk

Cause: the path from caller to endpoint needs something at its far ends. Ruled out: a process per replica (hundreds of processes at the size to come) and a step per token in the model (cost grows with tokens).

--- /dev/null
+++ b/standins/src/api.rs
@@ -0,0 +1,209 @@
+//! Bodies of the engine's OpenAI-style calls.
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::engine::Usage;
+use crate::text;
+
+/// Which call was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// `POST /v1/chat/completions`.
+    Chat,
+    /// `POST /v1/completions`.
+    Completion,
+}
+
+/// Body of a call.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+pub struct Call {
+    /// Name of the model, given back as it came.
+    pub model: String,
+    /// Messages of a chat.
+    pub messages: Vec<Message>,
+    /// Prompt of a completion: a string or a list of strings.
+    pub prompt: Value,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Length of the answer.
+    pub max_tokens: Option<u32>,
+    /// Newer name of `max_tokens`.
+    pub max_completion_tokens: Option<u32>,
+    /// Changes the answer.
+    pub seed: i64,
+    /// Lower runs first.
+    pub priority: i32,
+    /// Answer so far.
+    pub resume_text: String,
+    /// Its number of tokens.
+    pub resume_tokens: u32,
+    /// KV cache to import.
+    pub kv_source: Option<KvSource>,
+}
+
+/// One message of a chat.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(default)]
+pub struct Message {
+    /// Who speaks.
+    pub role: String,
+    /// A string or a list of parts, of which those of text count.
+    pub content: Value,
+}
+
+/// Where a KV cache can be had.
+#[derive(Debug, Clone, Deserialize)]
+pub struct KvSource {
+    /// IP:port of the engine that exported it.
+    pub address: String,
+    /// Name that the engine gave it.
+    pub handle: String,
+}
+
+/// What is wrong with a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+pub enum CallError {
+    /// A chat without messages.
+    #[display("messages are missing")]
+    NoMessages,
+    /// A completion without prompt.
+    #[display("prompt is missing")]
+    NoPrompt,
+    /// The answer so far does not begin this answer.
+    #[display("resume_text or resume_tokens is not the start of this answer")]
+    WrongResume,
+}
+
+impl Call {
+    /// Text of the prompt.
+    pub fn text(&self, kind: Kind) -> Result<String, CallError> {
+        match kind {
+            Kind::Chat if self.messages.is_empty() => Err(CallError::NoMessages),
+            Kind::Chat => {
+                let line = |m: &Message| format!("{}\n{}\n", m.role, plain_text(&m.content));
+                Ok(self.messages.iter().map(line).collect())
+            }
+            Kind::Completion if self.prompt.is_null() => Err(CallError::NoPrompt),
+            Kind::Completion => Ok(plain_text(&self.prompt)),
+        }
+    }
+
+    /// The whole answer to the prompt's `text`.
+    pub fn answer(&self, text: &str) -> text::Answer {
+        let max_tokens = self.max_tokens.or(self.max_completion_tokens);
+        text::Answer::new(text, max_tokens, self.seed as u64)
+    }
+
+    /// Number of tokens to resume after.
+    pub fn resumed(&self, answer: &text::Answer) -> Result<u32, CallError> {
+        let tokens = text::token_count(&self.resume_text);
+        let is_named_right = self.resume_tokens == 0 || self.resume_tokens == tokens;
+        if !is_named_right || answer.text(0, tokens) != self.resume_text {
+            return Err(CallError::WrongResume);
+        }
+        Ok(tokens)
+    }
+
+    /// Whether the length of the answer was given.
+    pub fn has_length(&self) -> bool {
+        self.max_tokens.or(self.max_completion_tokens).is_some()
+    }
+}
+
+/// How an answer is worded.
+#[derive(Debug, Clone)]
+pub struct Wording {
+    /// Which call was made.
+    pub kind: Kind,
+    /// Id of the answer.
+    pub id: String,
+    /// Name of the model.
+    pub model: String,
+    /// Seconds since the Unix epoch.
+    pub created: u64,
+    /// Why the answer ends.
+    pub finish_reason: &'static str,
+}
+
+impl Wording {
+    /// First chunk of a stream; completions have none.
+    pub fn opening(&self) -> Option<Value> {
+        let delta = json!({ "role": "assistant", "content": "" });
+        (self.kind == Kind::Chat).then(|| self.chunk(json!({ "delta": delta }), None))
+    }
+
+    /// Chunk with more text.
+    pub fn piece(&self, text: &str) -> Value {
+        match self.kind {
+            Kind::Chat => self.chunk(json!({ "delta": { "content": text } }), None),
+            Kind::Completion => self.chunk(json!({ "text": text }), None),
+        }
+    }
+
+    /// Last chunk of a stream.
+    pub fn closing(&self, usage: &Usage) -> Value {
+        let choice = match self.kind {
+            Kind::Chat => json!({ "delta": {} }),
+            Kind::Completion => json!({ "text": "" }),
+        };
+        let mut chunk = self.chunk(choice, Some(self.finish_reason));
+        chunk["usage"] = usage_value(usage);
+        chunk
+    }
+
+    /// Whole answer.
+    pub fn whole(&self, text: &str, usage: &Usage) -> Value {
+        let message = json!({ "role": "assistant", "content": text });
+        let (object, mut choice) = match self.kind {
+            Kind::Chat => ("chat.completion", json!({ "message": message })),
+            Kind::Completion => ("text_completion", json!({ "text": text })),
+        };
+        choice["index"] = json!(0);
+        choice["finish_reason"] = json!(self.finish_reason);
+        json!({
+            "id": self.id,
+            "object": object,
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+            "usage": usage_value(usage),
+        })
+    }
+
+    fn chunk(&self, mut choice: Value, finish_reason: Option<&str>) -> Value {
+        let object = match self.kind {
+            Kind::Chat => "chat.completion.chunk",
+            Kind::Completion => "text_completion",
+        };
+        choice["index"] = json!(0);
+        choice["finish_reason"] = json!(finish_reason);
+        json!({
+            "id": self.id,
+            "object": object,
+            "created": self.created,
+            "model": self.model,
+            "choices": [choice],
+        })
+    }
+}
+
+fn usage_value(usage: &Usage) -> Value {
+    json!({
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": { "cached_tokens": usage.cached_tokens },
+    })
+}
+
+/// A string, or the strings and `text` parts of a list.
+fn plain_text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Array(parts) => parts.iter().map(plain_text).collect(),
+        Value::Object(part) => part.get("text").map(plain_text).unwrap_or_default(),
+        _ => String::new(),
+    }
+}
--- /dev/null
+++ b/standins/src/desk.rs
@@ -0,0 +1,233 @@
+//! Plain service over HTTP: order and payout confirmations that count how often each ran, and
+//! stock look-ups. Replicas share one table of runs.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use xxhash_rust::xxh3;
+
+use crate::fleet::{Instance, Notice};
+use crate::http::{self, Answer, Body, Cut};
+
+/// Key under which calls without one are counted.
+const NO_KEY: &str = "-";
+/// Largest stock of an item.
+const MAX_STOCK: u64 = 500;
+
+/// Faults of one desk replica, changeable while it runs.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Time that a call takes, half of it before it runs, in milliseconds.
+    pub delay_ms: u64,
+    /// Number of next calls that run and then lose their answer.
+    pub lose_answers: u32,
+    /// Answers 503.
+    pub refuse: bool,
+    /// Accepts and answers nothing.
+    pub frozen: bool,
+}
+
+#[derive(Debug, Default)]
+struct Table {
+    runs: BTreeMap<String, u64>,
+    fences: HashMap<String, u64>,
+    confirmations: u64,
+}
+
+struct Replica {
+    instance: Instance,
+    faults: Mutex<Faults>,
+    is_gone: AtomicBool,
+}
+
+/// Desk replicas of one process.
+pub struct Desk {
+    table: Mutex<Table>,
+    replicas: Vec<Replica>,
+    checks_fencing: bool,
+    seed: u64,
+}
+
+/// One confirmation to give.
+struct Run {
+    kind: String,
+    key: String,
+    fence: u64,
+}
+
+impl Desk {
+    /// Replicas for the given instances.
+    pub fn new(instances: Vec<Instance>, checks_fencing: bool, seed: u64) -> Arc<Desk> {
+        let replica = |instance| Replica {
+            instance,
+            faults: Mutex::new(Faults::default()),
+            is_gone: AtomicBool::new(false),
+        };
+        Arc::new(Desk {
+            table: Mutex::new(Table::default()),
+            replicas: instances.into_iter().map(replica).collect(),
+            checks_fencing,
+            seed,
+        })
+    }
+
+    /// Serves every replica on its listener, in the same order, until `stop` changes.
+    pub async fn serve(self: Arc<Desk>, listeners: Vec<TcpListener>, stop: watch::Receiver<u64>) {
+        let mut tasks = tokio::task::JoinSet::new();
+        for (index, listener) in listeners.into_iter().enumerate() {
+            let desk = self.clone();
+            let handler: http::Handler = Arc::new(move |request| {
+                let desk = desk.clone();
+                Box::pin(async move { desk.answer(index, request).await })
+            });
+            tasks.spawn(http::serve(listener, handler, stop.clone()));
+        }
+        while tasks.join_next().await.is_some() {}
+    }
+
+    /// Ends replicas at the end of their notice: they cut every call but `/runs` and `/faults`.
+    pub async fn follow(self: Arc<Desk>, mut notices: mpsc::UnboundedReceiver<Notice>) {
+        while let Some(notice) = notices.recv().await {
+            let is_meant = |r: &Replica| r.instance.id == notice.instance;
+            let Some(index) = self.replicas.iter().position(is_meant) else { continue };
+            let left_ms = notice.leave_at_ms.saturating_sub(http::unix_ms());
+            let desk = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(left_ms)).await;
+                desk.replicas[index].is_gone.store(true, Ordering::Relaxed);
+            });
+        }
+    }
+
+    async fn answer(self: Arc<Desk>, index: usize, request: Request<Incoming>) -> Answer {
+        let path = request.uri().path().to_owned();
+        let segments = http::segments(&path);
+        match (request.method(), &segments[..]) {
+            (&Method::GET, ["runs"]) => return Ok(http::json(StatusCode::OK, &self.table().runs)),
+            (_, ["faults"]) => return Ok(self.faults(index, request).await),
+            _ => {}
+        }
+        let replica = &self.replicas[index];
+        http::wait_while(|| replica.faults().frozen).await;
+        if replica.is_gone.load(Ordering::Relaxed) {
+            return Err(Cut);
+        }
+        if replica.faults().refuse {
+            let response = http::error(StatusCode::SERVICE_UNAVAILABLE, "refusing");
+            return Ok(http::with_header(response, "retry-after", "1"));
+        }
+        match (request.method(), &segments[..]) {
+            (&Method::POST, [kind @ ("orders" | "payouts")]) => {
+                let kind = kind.trim_end_matches('s').to_owned();
+                self.clone().confirm(index, kind, request).await
+            }
+            (&Method::GET, ["stock", item]) => self.stock(index, item).await,
+            _ => Ok(http::error(StatusCode::NOT_FOUND, "no such call")),
+        }
+    }
+
+    async fn confirm(
+        self: Arc<Desk>,
+        index: usize,
+        kind: String,
+        request: Request<Incoming>,
+    ) -> Answer {
+        let key = http::header(&request, "idempotency-key");
+        let key = if key.is_empty() { NO_KEY.to_owned() } else { key };
+        let fence = http::header(&request, "x-fencing-number").parse().unwrap_or(0);
+        if let Err(response) = http::read_json::<Map<String, Value>>(request.into_body()).await {
+            return Ok(response);
+        }
+        let run = Run { kind, key, fence };
+        // A caller that hangs up does not undo its order.
+        let running = tokio::spawn(async move { self.run(index, run).await });
+        running.await.unwrap_or(Err(Cut))
+    }
+
+    async fn run(&self, index: usize, run: Run) -> Answer {
+        let half = Duration::from_millis(self.replicas[index].faults().delay_ms) / 2;
+        tokio::time::sleep(half).await;
+        let confirmation = {
+            let mut table = self.table();
+            let highest = table.fences.get(&run.key).copied().unwrap_or(0);
+            if self.checks_fencing && run.fence < highest {
+                let response = http::error(StatusCode::CONFLICT, "old fencing number");
+                return Ok(http::with_header(response, "x-fencing", "refused"));
+            }
+            table.fences.insert(run.key.clone(), highest.max(run.fence));
+            *table.runs.entry(run.key.clone()).or_default() += 1;
+            table.confirmations += 1;
+            table.confirmations
+        };
+        tokio::time::sleep(half).await;
+        if self.replicas[index].lose_answer() {
+            return Err(Cut);
+        }
+        let answer = json!({
+            "confirmation": format!("{}-{confirmation:06}", run.kind),
+            "key": run.key,
+        });
+        Ok(http::json(StatusCode::OK, &answer))
+    }
+
+    async fn stock(&self, index: usize, item: &str) -> Answer {
+        let replica = &self.replicas[index];
+        tokio::time::sleep(Duration::from_millis(replica.faults().delay_ms)).await;
+        if replica.lose_answer() {
+            return Err(Cut);
+        }
+        let count = xxh3::xxh3_64_with_seed(item.as_bytes(), self.seed) % MAX_STOCK;
+        Ok(http::json(StatusCode::OK, &json!({ "item": item, "in_stock": count })))
+    }
+
+    async fn faults(&self, index: usize, request: Request<Incoming>) -> Response<Body> {
+        if request.method() == Method::POST {
+            let mut change: Value = match http::read_json(request.into_body()).await {
+                Ok(change) => change,
+                Err(response) => return response,
+            };
+            let all = change.as_object_mut().and_then(|fields| fields.remove("all"));
+            let is_for_all = all == Some(Value::Bool(true));
+            let one = &self.replicas[index..=index];
+            let meant = if is_for_all { &self.replicas[..] } else { one };
+            for replica in meant {
+                match http::merge(&replica.faults(), change.clone()) {
+                    Ok(faults) => *replica.lock() = faults,
+                    Err(problem) => return http::bad_json(&problem),
+                }
+            }
+        }
+        http::json(StatusCode::OK, &self.replicas[index].faults())
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().expect("no holder of the lock panics")
+    }
+}
+
+impl Replica {
+    fn lock(&self) -> MutexGuard<'_, Faults> {
+        self.faults.lock().expect("no holder of the lock panics")
+    }
+
+    fn faults(&self) -> Faults {
+        self.lock().clone()
+    }
+
+    /// Whether this call's answer is to be lost.
+    fn lose_answer(&self) -> bool {
+        let mut faults = self.lock();
+        let is_lost = faults.lose_answers > 0;
+        faults.lose_answers -= u32::from(is_lost);
+        is_lost
+    }
+}
--- /dev/null
+++ b/standins/src/engines.rs
@@ -0,0 +1,432 @@
+//! Engine replicas over HTTP: one process hosts many, each on its own port.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+use crate::api::{Call, Kind, KvSource, Wording};
+use crate::engine::{AttemptId, SubmitError, Usage};
+use crate::http::{self, Answer, Body, Client, Cut};
+use crate::registration::Registration;
+use crate::replica::{Export, Order, Progress, Replica, Start, StartError};
+
+/// Time between load reports.
+const REPORT_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between looks for cache events.
+const CACHE_EVENT_POLL: Duration = Duration::from_millis(20);
+/// Longest wait of a long poll, in milliseconds.
+const MAX_WAIT_MS: u64 = 60_000;
+/// Time between tries to listen again after a crash.
+const BIND_RETRY: Duration = Duration::from_millis(50);
+
+/// Replicas of one process.
+pub struct Group {
+    replicas: Vec<Arc<Replica>>,
+    registration: Option<Registration>,
+    client: Client,
+    restart: Duration,
+    kv_bytes_per_token: usize,
+}
+
+/// Settings of a group of replicas.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Time that a crashed replica is away.
+    pub restart: Duration,
+    /// Size of exported KV cache, in bytes a token.
+    pub kv_bytes_per_token: usize,
+}
+
+#[derive(Deserialize)]
+struct ExportCall {
+    attempt: String,
+}
+
+impl Group {
+    /// A group of `replicas`; without a registration there is no weight store to load from.
+    pub fn new(
+        settings: Settings,
+        replicas: Vec<Arc<Replica>>,
+        registration: Option<Registration>,
+    ) -> Arc<Group> {
+        Arc::new(Group {
+            replicas,
+            registration,
+            client: http::client(),
+            restart: settings.restart,
+            kv_bytes_per_token: settings.kv_bytes_per_token,
+        })
+    }
+
+    /// Serves every replica on its listener, in the same order.
+    pub async fn serve(self: Arc<Group>, listeners: Vec<TcpListener>) {
+        let mut tasks = tokio::task::JoinSet::new();
+        for (replica, listener) in self.replicas.iter().zip(listeners) {
+            tasks.spawn(self.clone().serve_replica(replica.clone(), listener));
+        }
+        let group = self.clone();
+        tasks.spawn(async move {
+            loop {
+                tokio::time::sleep(REPORT_INTERVAL).await;
+                group.replicas.iter().for_each(|replica| replica.sample());
+            }
+        });
+        while tasks.join_next().await.is_some() {}
+    }
+
+    /// Gives the group's replicas their notices and closes them at the end.
+    pub async fn follow(
+        self: Arc<Group>,
+        mut notices: mpsc::UnboundedReceiver<crate::fleet::Notice>,
+    ) {
+        while let Some(notice) = notices.recv().await {
+            let is_meant = |r: &&Arc<Replica>| r.settings.instance.id == notice.instance;
+            let Some(replica) = self.replicas.iter().find(is_meant).cloned() else { continue };
+            replica.give_notice(notice.leave_at_ms);
+            let left_ms = notice.leave_at_ms.saturating_sub(http::unix_ms());
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(left_ms)).await;
+                replica.close();
+            });
+        }
+    }
+
+    async fn serve_replica(self: Arc<Group>, replica: Arc<Replica>, listener: TcpListener) {
+        let Ok(address) = listener.local_addr() else { return };
+        let mut listener = Some(listener);
+        loop {
+            let listening = match listener.take() {
+                Some(listening) => listening,
+                None => bind_again(address).await,
+            };
+            let stop = watch::Sender::new(0);
+            let group = self.clone();
+            let served = replica.clone();
+            let handler: http::Handler = Arc::new(move |request| {
+                let (group, replica) = (group.clone(), served.clone());
+                Box::pin(async move { group.answer(replica, request).await })
+            });
+            let server = tokio::spawn(http::serve(listening, handler, stop.subscribe()));
+            let crashed = replica.drive().await;
+            stop.send_replace(1);
+            let _ = server.await;
+            if !crashed {
+                return;
+            }
+            tokio::time::sleep(self.restart).await;
+            replica.restart();
+        }
+    }
+
+    async fn answer(self: Arc<Group>, replica: Arc<Replica>, request: Request<Incoming>) -> Answer {
+        let path = request.uri().path().to_owned();
+        let query = request.uri().query().map(str::to_owned);
+        let method = request.method().clone();
+        let segments = http::segments(&path);
+        if let ["faults"] = segments[..] {
+            return Ok(self.faults(&replica, &method, request.into_body()).await);
+        }
+        http::wait_while(|| replica.faults().frozen).await;
+        match (&method, &segments[..]) {
+            (&Method::POST, ["v1", "chat", "completions"]) => {
+                self.complete(replica, Kind::Chat, request).await
+            }
+            (&Method::POST, ["v1", "completions"]) => {
+                self.complete(replica, Kind::Completion, request).await
+            }
+            (&Method::GET, ["v1", "models"]) => {
+                let model = json!({ "id": replica.report().model, "object": "model" });
+                Ok(http::json(StatusCode::OK, &json!({ "object": "list", "data": [model] })))
+            }
+            (&Method::DELETE, ["v1", "attempts", name]) => {
+                replica.cancel_named(name);
+                Ok(http::empty(StatusCode::NO_CONTENT))
+            }
+            (&Method::GET, ["load"]) => Ok(http::json(StatusCode::OK, &replica.report())),
+            (&Method::GET, ["cache-events"]) => Ok(cache_events(&replica, query.as_deref()).await),
+            (&Method::POST, ["orders"]) => Ok(self.order(replica, request.into_body()).await),
+            (&Method::POST, ["kv", "export"]) => {
+                Ok(self.export(&replica, request.into_body()).await)
+            }
+            (&Method::GET, ["kv", handle]) => Ok(match replica.exported(handle) {
+                Some(export) => Response::new(http::full(self.encode(&export))),
+                None => http::error(StatusCode::NOT_FOUND, "no such export"),
+            }),
+            (&Method::GET, ["counters"]) => Ok(http::json(StatusCode::OK, &counters(&replica))),
+            _ => Ok(http::error(StatusCode::NOT_FOUND, "no such call")),
+        }
+    }
+
+    async fn faults(&self, replica: &Replica, method: &Method, body: Incoming) -> Response<Body> {
+        if method == Method::POST {
+            let mut change: Value = match http::read_json(body).await {
+                Ok(change) => change,
+                Err(response) => return response,
+            };
+            let all = change.as_object_mut().and_then(|fields| fields.remove("all"));
+            let is_for_all = all == Some(Value::Bool(true));
+            let others = self.replicas.iter().map(|replica| &**replica);
+            let meant: Vec<&Replica> = if is_for_all { others.collect() } else { vec![replica] };
+            for replica in meant {
+                match http::merge(&replica.faults(), change.clone()) {
+                    Ok(faults) => replica.set_faults(faults),
+                    Err(problem) => return http::bad_json(&problem),
+                }
+            }
+        }
+        http::json(StatusCode::OK, &replica.faults())
+    }
+
+    async fn complete(
+        &self,
+        replica: Arc<Replica>,
+        kind: Kind,
+        request: Request<Incoming>,
+    ) -> Answer {
+        let name = http::header(&request, "x-attempt");
+        let call: Call = match http::read_json(request.into_body()).await {
+            Ok(call) => call,
+            Err(response) => return Ok(response),
+        };
+        let prompt = match call.text(kind) {
+            Ok(prompt) => prompt,
+            Err(e) => return Ok(http::error(StatusCode::BAD_REQUEST, &e.to_string())),
+        };
+        let answer = call.answer(&prompt);
+        let resume_tokens = match call.resumed(&answer) {
+            Ok(tokens) => tokens,
+            Err(e) => return Ok(http::error(StatusCode::BAD_REQUEST, &e.to_string())),
+        };
+        let import = match &call.kv_source {
+            Some(source) => self.import(source).await,
+            None => None,
+        };
+        let mut wording = Wording {
+            kind,
+            id: String::new(),
+            model: call.model.clone(),
+            created: http::unix_ms() / 1_000,
+            finish_reason: if call.has_length() { "length" } else { "stop" },
+        };
+        let start = Start {
+            name,
+            prompt,
+            resume_text: call.resume_text,
+            resume_tokens,
+            answer,
+            import,
+            priority: call.priority,
+        };
+        let (id, progress) = match replica.start(start) {
+            Ok(started) => started,
+            Err(error) => return start_error(error),
+        };
+        wording.id = format!("cmpl-{}-{id}", replica.settings.instance.id);
+        let running = Running { replica, id, progress, answer };
+        if call.stream { Ok(streamed(running, wording)) } else { whole(running, wording).await }
+    }
+
+    async fn order(self: Arc<Group>, replica: Arc<Replica>, body: Incoming) -> Response<Body> {
+        let order: Order = match http::read_json(body).await {
+            Ok(order) => order,
+            Err(response) => return response,
+        };
+        let model = order.model.clone();
+        let (sequence, changes_model) = match replica.order(order) {
+            Ok(taken) => taken,
+            Err(refusal) => return http::error(StatusCode::CONFLICT, &refusal.to_string()),
+        };
+        if changes_model {
+            tokio::spawn(async move {
+                if let Some(registration) = &self.registration {
+                    registration.read_weights(&model).await;
+                }
+                replica.finish_loading();
+            });
+        }
+        http::json(StatusCode::OK, &json!({ "sequence": sequence }))
+    }
+
+    async fn export(&self, replica: &Replica, body: Incoming) -> Response<Body> {
+        let call: ExportCall = match http::read_json(body).await {
+            Ok(call) => call,
+            Err(response) => return response,
+        };
+        let Some((handle, export)) = replica.export(&call.attempt) else {
+            return http::error(StatusCode::NOT_FOUND, "no such attempt is running");
+        };
+        let bytes = self.encode(&export).len();
+        let answer = json!({ "handle": handle, "tokens": export.tokens, "bytes": bytes });
+        http::json(StatusCode::OK, &answer)
+    }
+
+    /// Fetches an exported KV cache; none if it can't be had.
+    async fn import(&self, source: &KvSource) -> Option<Export> {
+        let url = format!("http://{}/kv/{}", source.address, source.handle);
+        let fetched = http::call(&self.client, Method::GET, &url, Bytes::new()).await;
+        match fetched {
+            Ok((StatusCode::OK, bytes)) => decode(bytes),
+            _ => None,
+        }
+    }
+
+    /// An export as bytes: tokens, number of blocks and block hashes, padded to its size.
+    fn encode(&self, export: &Export) -> Bytes {
+        let mut bytes = BytesMut::new();
+        bytes.put_u32_le(export.tokens);
+        bytes.put_u32_le(export.blocks.len() as u32);
+        export.blocks.iter().for_each(|&block| bytes.put_u64_le(block));
+        let size = export.tokens as usize * self.kv_bytes_per_token;
+        if bytes.len() < size {
+            bytes.resize(size, 0);
+        }
+        bytes.freeze()
+    }
+}
+
+fn decode(mut bytes: Bytes) -> Option<Export> {
+    if bytes.len() < 8 {
+        return None;
+    }
+    let tokens = bytes.get_u32_le();
+    let count = bytes.get_u32_le() as usize;
+    if bytes.len() / 8 < count {
+        return None;
+    }
+    let blocks = (0..count).map(|_| bytes.get_u64_le()).collect();
+    Some(Export { tokens, blocks })
+}
+
+/// An attempt in progress; it is cancelled when dropped before its end.
+struct Running {
+    replica: Arc<Replica>,
+    id: AttemptId,
+    progress: mpsc::UnboundedReceiver<Progress>,
+    answer: crate::text::Answer,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.replica.cancel(self.id);
+    }
+}
+
+enum Phase {
+    Opening,
+    Middle,
+    Done,
+    Ended,
+}
+
+/// Answer as server-sent events. A crash or cancellation ends it without `[DONE]`.
+fn streamed(running: Running, wording: Wording) -> Response<Body> {
+    let first = (running, wording, Phase::Opening);
+    let frames = stream::unfold(first, |(mut running, wording, mut phase)| async move {
+        let frame = loop {
+            match phase {
+                Phase::Opening => {
+                    phase = Phase::Middle;
+                    if let Some(opening) = wording.opening() {
+                        break event(&opening);
+                    }
+                }
+                Phase::Middle => match running.progress.recv().await? {
+                    Progress::Tokens { from, to } => {
+                        break event(&wording.piece(&running.answer.text(from, to)));
+                    }
+                    Progress::Finished(usage) => {
+                        phase = Phase::Done;
+                        break event(&wording.closing(&usage));
+                    }
+                },
+                Phase::Done => {
+                    phase = Phase::Ended;
+                    break Bytes::from_static(b"data: [DONE]\n\n");
+                }
+                Phase::Ended => return None,
+            }
+        };
+        Some((Ok(Frame::data(frame)), (running, wording, phase)))
+    });
+    let mut response = Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)));
+    let kind = HeaderValue::from_static("text/event-stream");
+    response.headers_mut().insert(CONTENT_TYPE, kind);
+    response
+}
+
+async fn whole(mut running: Running, wording: Wording) -> Answer {
+    let mut text = String::new();
+    let usage: Usage = loop {
+        match running.progress.recv().await {
+            Some(Progress::Tokens { from, to }) => text.push_str(&running.answer.text(from, to)),
+            Some(Progress::Finished(usage)) => break usage,
+            None => return Err(Cut),
+        }
+    };
+    Ok(http::json(StatusCode::OK, &wording.whole(&text, &usage)))
+}
+
+fn event(value: &Value) -> Bytes {
+    Bytes::from(format!("data: {value}\n\n"))
+}
+
+fn start_error(error: StartError) -> Answer {
+    match error {
+        StartError::Engine(SubmitError::Down) => Err(Cut),
+        StartError::Engine(SubmitError::Duplicate) => {
+            Ok(http::error(StatusCode::CONFLICT, &error.to_string()))
+        }
+        StartError::Unavailable | StartError::Engine(SubmitError::Full) => {
+            let response = http::error(StatusCode::SERVICE_UNAVAILABLE, &error.to_string());
+            Ok(http::with_header(response, "retry-after", "1"))
+        }
+    }
+}
+
+async fn cache_events(replica: &Replica, query: Option<&str>) -> Response<Body> {
+    let after = http::query_number(query, "after", 0);
+    let wait_ms = http::query_number(query, "wait_ms", 0).min(MAX_WAIT_MS);
+    let deadline = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let (events, next) = replica.cache_events(after);
+        if next > after || Instant::now() >= deadline {
+            return http::json(StatusCode::OK, &json!({ "events": events, "next": next }));
+        }
+        tokio::time::sleep(CACHE_EVENT_POLL).await;
+    }
+}
+
+fn counters(replica: &Replica) -> Value {
+    let counters = replica.counters();
+    json!({
+        "computed_prompt_tokens": counters.computed_prompt_tokens,
+        "cached_tokens": counters.cached_tokens,
+        "recomputed_tokens": counters.recomputed_tokens,
+        "generated_tokens": counters.generated_tokens,
+        "finished": counters.finished,
+        "cancelled": counters.cancelled,
+        "crashes": counters.crashes,
+        "late_work": replica.late_work(),
+    })
+}
+
+async fn bind_again(address: SocketAddr) -> TcpListener {
+    loop {
+        match TcpListener::bind(address).await {
+            Ok(listener) => return listener,
+            Err(_) => tokio::time::sleep(BIND_RETRY).await,
+        }
+    }
+}
