--- a/rhubarbrock/src/lib.rs
+++ b/rhubarbrock/src/lib.rs
@@ -15,4 +15,11 @@
 //! ```
 
 pub mod clock;
+pub mod defaults;
 pub mod id;
+pub mod note;
+mod note_fields;
+pub mod publisher;
+pub mod release;
+pub mod snapshot;
+pub mod validation;
--- /dev/null
+++ b/rhubarbrock/src/snapshot.rs
@@ -0,0 +1,127 @@
+//! When a node appends a snapshot of the release to the log, so that notes may expire.
+//!
+//! The retention of the log is not known, so a snapshot is due by its age and
+//! by the share of the retained records that it does not cover, whichever is
+//! more. The live nodes rank themselves by a hash; the first writes at the
+//! threshold, each next one a little later. Doubles are harmless.
+
+use std::time::Duration;
+
+use prost::Message;
+use rhubarbrock_schema::log;
+use xxhash_rust::xxh3;
+
+use crate::id::{NodeId, Offset};
+use crate::release::ReleaseLog;
+
+/// Age at which a snapshot counts as used up.
+pub const MAX_AGE: Duration = Duration::from_secs(600);
+
+/// Records that a snapshot may leave uncovered while the log has not yet dropped any.
+pub const MAX_UNCOVERED: u64 = 1_024;
+
+/// Share used up, in percent, at which the first node writes.
+const FIRST_PERCENT: u64 = 50;
+
+/// Share added for each rank before, in percent.
+const RANK_PERCENT: u64 = 5;
+
+/// Nodes that may write; the others leave it to them.
+const WRITERS: u64 = 8;
+
+/// Time between two snapshots of one node.
+const RETRY_INTERVAL: Duration = Duration::from_secs(10);
+
+/// A snapshot's time may be this far ahead of this node's wall clock.
+const MAX_CLOCK_SKEW: Duration = Duration::from_secs(60);
+
+/// What a node knows of the log and of the other nodes.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'v> {
+    /// This node.
+    pub node: NodeId,
+    /// Live nodes, with or without this one.
+    pub live: &'v [NodeId],
+    /// Offset of the oldest record that the log still has.
+    pub oldest: Offset,
+    /// Offset after the log's last record.
+    pub end: Offset,
+    /// Time since the Unix epoch.
+    pub wall: Duration,
+}
+
+/// The snapshots of one node.
+#[derive(Debug, Clone, Default)]
+pub struct Writer {
+    last_attempt: Option<Duration>,
+}
+
+impl Writer {
+    /// The record to append to topic "release" now, if it is this node's turn.
+    pub fn due(&mut self, log: &ReleaseLog, view: &View<'_>, now: Duration) -> Option<Vec<u8>> {
+        let is_waiting =
+            self.last_attempt.is_some_and(|last| now.saturating_sub(last) < RETRY_INTERVAL);
+        if is_waiting || !is_due(log, view) {
+            return None;
+        }
+        self.last_attempt = Some(now);
+        record(log, view.wall)
+    }
+}
+
+/// Whether this node should write a snapshot now.
+pub fn is_due(log: &ReleaseLog, view: &View<'_>) -> bool {
+    if log.base().is_none() || log.covered() == 0 {
+        return false;
+    }
+    let rank = rank(log, view);
+    rank < WRITERS && used_percent(log, view) >= FIRST_PERCENT + rank * RANK_PERCENT
+}
+
+/// The snapshot of this reader's release; none while records before it are missing.
+pub fn record(log: &ReleaseLog, wall: Duration) -> Option<Vec<u8>> {
+    let snapshot = log::ReleaseSnapshot {
+        release: Some(log.base()?.clone()),
+        covered_offset: log.covered(),
+        written_at_ms: wall.as_millis() as u64,
+    };
+    let body = log::release_record::Body::Snapshot(snapshot);
+    Some(log::ReleaseRecord { body: Some(body) }.encode_to_vec())
+}
+
+/// Share of the last snapshot's life that is used up, in percent; above 100 where none is usable.
+fn used_percent(log: &ReleaseLog, view: &View<'_>) -> u64 {
+    const UNUSABLE: u64 = 1_000;
+    let Some(last) = log.last_snapshot() else {
+        let uncovered = view.end.saturating_sub(1);
+        let is_cut = view.oldest > 1;
+        return if is_cut { UNUSABLE } else { percent(uncovered, MAX_UNCOVERED) };
+    };
+    let written_at = Duration::from_millis(last.written_at_ms);
+    let is_ahead = written_at > view.wall + MAX_CLOCK_SKEW;
+    if is_ahead || last.covered + 1 < view.oldest {
+        return UNUSABLE;
+    }
+    let age = view.wall.saturating_sub(written_at);
+    let window = match view.oldest {
+        0 | 1 => MAX_UNCOVERED,
+        oldest => view.end.saturating_sub(oldest).clamp(1, MAX_UNCOVERED),
+    };
+    let uncovered = view.end.saturating_sub(last.covered + 1);
+    percent(uncovered, window).max(percent(age.as_millis() as u64, MAX_AGE.as_millis() as u64))
+}
+
+fn percent(part: u64, whole: u64) -> u64 {
+    part.saturating_mul(100) / whole
+}
+
+/// Number of live nodes before this one; changes with each snapshot, so that all take turns.
+fn rank(log: &ReleaseLog, view: &View<'_>) -> u64 {
+    let turn = log.last_snapshot().map_or(0, |last| last.covered);
+    let own = weight(view.node, turn);
+    view.live.iter().filter(|&&node| weight(node, turn) < own).count() as u64
+}
+
+fn weight(node: NodeId, turn: Offset) -> (u64, NodeId) {
+    (xxh3::xxh3_64_with_seed(&node.to_le_bytes(), turn), node)
+}
