Detect failures of nodes by probes over datagrams

Cause: nodes must know within seconds who runs, without a full mesh, a consensus group or the platform's list, which lags.

The change: `membership` is a failure detector in the manner of SWIM: one probe a second, direct, then through three others, suspicion that grows with the logarithm of the number of nodes and shrinks with each further reporter, refutation by incarnation, leaving, stop, dead nodes remembered for half an hour. Probes alternate between the own data centre and all nodes. A process that was paused blames nobody. Addresses of the settings, of the platform's list and of nodes taken for dead are tried with back-off, so parted regions join again. `digest` keeps bounded other news (endpoint loads, usage, suspects) and adds it to a datagram up to 480 bytes in all; membership news may fill 1,100. `watch` and `rendezvous` choose nodes for a key.

Ruled out: the later of two processes at one address by id (ids are random); it is by start time. A recent datagram alone does not clear a suspicion, since it may be late: the suspect is told at once and refutes.

Checks seen failing first, each by breaking the code: suspicion that never ends (a_killed_node…, a_node_that_wakes…, old_news…), a dead node revived by its old incarnation (old_news…), no refutation (parted…, short_pauses…), a pause not seen (a_node_that_wakes…), dead addresses not tried (parted…), an address taken over not noticed (a_restarted…), a time-out below the round trip (no_node_dies…), stale or foreign datagrams taken (dropped_are…), news without size bound (datagrams_stay…, news_is_bounded…), older news taken (news_reaches…), leaving not told (leaving_is_told…).

--- a/rhubarbrock/src/lib.rs
+++ b/rhubarbrock/src/lib.rs
@@ -14,12 +14,21 @@
 //! assert_eq!(request.to_string(), text);
 //! ```
 
+pub mod broadcast;
 pub mod clock;
+mod contacts;
 pub mod defaults;
+pub mod digest;
 pub mod id;
+pub mod member_table;
+pub mod membership;
 pub mod note;
 mod note_fields;
+mod probe;
 pub mod publisher;
 pub mod release;
+pub mod rendezvous;
 pub mod snapshot;
+pub mod suspicion;
 pub mod validation;
+pub mod watch;
--- /dev/null
+++ b/rhubarbrock/src/membership.rs
@@ -0,0 +1,724 @@
+//! Which nodes run: a failure detector over datagrams, in the manner of SWIM.
+//!
+//! Each node probes one other a second, first directly, then through others.
+//! Who gives no answer is suspect, and dead if it does not refute in time.
+//! News of nodes rides on the datagrams, and so does other news
+//! ([`digest`]), in what room is left.
+//!
+//! The caller sends what it gets back, fills in `sent_at_ms`, and checks that
+//! datagrams come from a holder of the nodes' key.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use prost::Message;
+use rand::SeedableRng;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use rhubarbrock_schema::peer;
+
+use crate::broadcast;
+use crate::contacts;
+use crate::digest;
+use crate::id;
+use crate::member_table;
+use crate::probe;
+
+pub use crate::member_table::{Change, ChangeKind, Known, State, Why};
+
+/// Bytes of a datagram that are not its digest: fixed fields and the digest's tag and length.
+const ENVELOPE_BYTES: usize = 64;
+const RELAY_LIMIT: usize = 64;
+const FRESH_LIMIT: usize = 4_096;
+const CHANGE_LIMIT: usize = 4_096;
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(5);
+const REMIND_INTERVAL: Duration = Duration::from_millis(500);
+const CONTACTS_PER_INTERVAL: usize = 2;
+
+/// Settings of the failure detector.
+#[derive(Debug, Clone)]
+pub struct Config {
+    probe_interval: Duration,
+    probe_timeout: Duration,
+    indirect_probes: usize,
+    suspicion_unit: Duration,
+    pause_bound: Duration,
+    stale_bound: Duration,
+    dead_life: Duration,
+    datagram_bytes: usize,
+    news_bytes: usize,
+    sampled_members: usize,
+    max_members: usize,
+    max_news: usize,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            probe_interval: Duration::from_secs(1),
+            probe_timeout: Duration::from_millis(400),
+            indirect_probes: 3,
+            suspicion_unit: Duration::from_millis(600),
+            pause_bound: Duration::from_millis(1_500),
+            stale_bound: Duration::from_secs(30),
+            dead_life: Duration::from_secs(1_800),
+            datagram_bytes: 1_100,
+            news_bytes: 480,
+            sampled_members: 1,
+            max_members: 4_096,
+            max_news: 16_384,
+        }
+    }
+}
+
+impl Config {
+    /// Time between probes; the time-out for a direct answer is two fifths of it.
+    pub fn probe_interval(mut self, interval: Duration) -> Config {
+        assert!(interval >= Duration::from_millis(10), "probes need time for an answer");
+        self.probe_interval = interval;
+        self.probe_timeout = interval * 2 / 5;
+        self.suspicion_unit = interval * 3 / 5;
+        self.pause_bound = interval * 3 / 2;
+        self
+    }
+
+    /// How many others are asked to probe a node that gave no direct answer.
+    pub fn indirect_probes(mut self, count: usize) -> Config {
+        self.indirect_probes = count;
+        self
+    }
+
+    /// Time to refute a suspicion, per doubling of the number of nodes.
+    pub fn suspicion_unit(mut self, unit: Duration) -> Config {
+        self.suspicion_unit = unit;
+        self
+    }
+
+    /// Age at which a datagram is dropped, by the wall clocks of sender and receiver.
+    pub fn stale_bound(mut self, bound: Duration) -> Config {
+        self.stale_bound = bound;
+        self
+    }
+
+    /// How long a dead node is remembered.
+    pub fn dead_life(mut self, life: Duration) -> Config {
+        self.dead_life = life;
+        self
+    }
+
+    /// Largest datagram before its HMAC, in bytes; membership news may fill it.
+    pub fn datagram_bytes(mut self, bytes: usize) -> Config {
+        assert!(bytes >= 512, "a datagram holds at least one record of a node");
+        self.datagram_bytes = bytes;
+        self
+    }
+
+    /// Size of a datagram up to which other news is added, in bytes.
+    pub fn news_bytes(mut self, bytes: usize) -> Config {
+        self.news_bytes = bytes;
+        self
+    }
+
+    /// Known nodes told of in each datagram besides those with changes.
+    pub fn sampled_members(mut self, count: usize) -> Config {
+        self.sampled_members = count;
+        self
+    }
+}
+
+/// A datagram to be sent; the sender's thread sets `sent_at_ms`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Outgoing {
+    /// Where it goes.
+    pub to: SocketAddr,
+    /// The datagram.
+    pub datagram: peer::Datagram,
+}
+
+/// Counts of what was dropped and done since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Datagrams dropped by age.
+    pub stale: u64,
+    /// Datagrams dropped because the sender's address is not that of its record.
+    pub wrong_address: u64,
+    /// Datagrams dropped as malformed.
+    pub malformed: u64,
+    /// Probes that were answered neither directly nor through others.
+    pub failed_probes: u64,
+    /// Times that this node refuted news of its own end.
+    pub refutations: u64,
+    /// Pauses of this process that the detector saw.
+    pub pauses: u64,
+}
+
+/// The state of the failure detector of one node.
+#[derive(Debug, Clone)]
+pub struct Membership {
+    config: Config,
+    me: peer::Member,
+    table: member_table::MemberTable,
+    probes: probe::Probes,
+    round: probe::Round,
+    local_round: probe::Round,
+    sample_round: probe::Round,
+    probes_sent: u64,
+    contacts: contacts::Contacts,
+    reminded_at: BTreeMap<id::NodeId, Duration>,
+    news: digest::News,
+    fresh: Vec<digest::Item>,
+    release_version: id::Version,
+    heard_version: id::Version,
+    last_tick: Option<Duration>,
+    next_probe_at: Duration,
+    next_expiry_at: Duration,
+    rng: ChaCha8Rng,
+    counters: Counters,
+}
+
+impl Membership {
+    /// A node that knows nobody yet. `me` is its own record.
+    pub fn new(config: Config, mut me: peer::Member, seed: u64) -> Membership {
+        assert!(me.node != 0, "a node's id is not 0");
+        assert!(me.datagram_address.parse::<SocketAddr>().is_ok(), "an address is IP:port");
+        me.set_state(peer::MemberState::Alive);
+        let mut table = member_table::MemberTable::new(config.suspicion_unit, config.max_members);
+        table.broadcasts.add(me.node);
+        Membership {
+            news: digest::News::new(config.max_news),
+            config,
+            table,
+            me,
+            probes: probe::Probes::default(),
+            round: probe::Round::default(),
+            local_round: probe::Round::default(),
+            sample_round: probe::Round::default(),
+            probes_sent: 0,
+            contacts: contacts::Contacts::default(),
+            reminded_at: BTreeMap::new(),
+            fresh: Vec::new(),
+            release_version: 0,
+            heard_version: 0,
+            last_tick: None,
+            next_probe_at: Duration::ZERO,
+            next_expiry_at: Duration::ZERO,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            counters: Counters::default(),
+        }
+    }
+
+    /// This node's own record.
+    pub fn me(&self) -> &peer::Member {
+        &self.me
+    }
+
+    /// Whether this node said that it leaves.
+    pub fn is_leaving(&self) -> bool {
+        self.me.state() != peer::MemberState::Alive
+    }
+
+    /// The other nodes known, by id; dead ones are there until they are forgotten.
+    pub fn members(&self) -> impl Iterator<Item = &Known> {
+        self.table.iter()
+    }
+
+    /// The other nodes that are not dead, by id.
+    pub fn running(&self) -> impl Iterator<Item = &Known> {
+        self.table.running()
+    }
+
+    /// What is known of one node.
+    pub fn member(&self, node: id::NodeId) -> Option<&Known> {
+        self.table.get(node)
+    }
+
+    /// Takes the changes since the last call, in order.
+    pub fn changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.table.changes)
+    }
+
+    /// Counts since the start.
+    pub fn counters(&self) -> Counters {
+        self.counters
+    }
+
+    /// The store of other news; what this node observed is put there.
+    pub fn news(&mut self) -> &mut digest::News {
+        &mut self.news
+    }
+
+    /// Takes the news heard since the last call, in order.
+    pub fn fresh(&mut self) -> Vec<digest::Item> {
+        std::mem::take(&mut self.fresh)
+    }
+
+    /// Tells the others which release is in force here.
+    pub fn set_release_version(&mut self, version: id::Version) {
+        self.release_version = self.release_version.max(version);
+        self.heard_version = self.heard_version.max(version);
+    }
+
+    /// Highest release version in force anywhere, as far as heard.
+    pub fn heard_version(&self) -> id::Version {
+        self.heard_version
+    }
+
+    /// Replaces the addresses to try; any may be stale. Given anew with each change of the list.
+    pub fn join(&mut self, now: Duration, addresses: &[SocketAddr]) {
+        self.contacts.list(now, addresses);
+    }
+
+    /// Tells the others that this node leaves and takes no new work.
+    pub fn leave(&mut self, _now: Duration) {
+        if self.me.state() != peer::MemberState::Leaving {
+            self.me.set_state(peer::MemberState::Leaving);
+            self.me.incarnation += 1;
+            self.table.broadcasts.add(self.me.node);
+        }
+    }
+
+    /// Datagrams that say this process ends now, so that nobody waits for a suspicion.
+    pub fn stop(&mut self, now: Duration) -> Vec<Outgoing> {
+        let running: Vec<id::NodeId> =
+            self.table.running().map(|known| known.record.node).collect();
+        let count = self.config.indirect_probes.max(1) * 2;
+        let chosen: Vec<id::NodeId> =
+            running.choose_multiple(&mut self.rng, count).copied().collect();
+        self.me.set_state(peer::MemberState::Dead);
+        chosen.into_iter().filter_map(|node| self.tell_record(now, node)).collect()
+    }
+
+    /// Does what is due. To be called ten times or more in a probe interval.
+    pub fn tick(&mut self, now: Duration) -> Vec<Outgoing> {
+        self.see_pause(now);
+        let mut outgoing = Vec::new();
+        for (number, target) in self.probes.turn_indirect(now) {
+            outgoing.extend(self.ask_others(now, number, target));
+        }
+        for failed in self.probes.failed(now) {
+            outgoing.extend(self.probe_failed(now, &failed));
+        }
+        self.table.settle_suspicions(now);
+        self.follow_deaths(now);
+        if now >= self.next_probe_at {
+            self.next_probe_at = now + self.config.probe_interval;
+            outgoing.extend(self.probe_next(now));
+            outgoing.extend(self.try_contacts(now));
+        }
+        self.expire(now);
+        outgoing
+    }
+
+    /// Takes in a datagram that came `from` an address at wall-clock time `wall_ms`.
+    pub fn receive(
+        &mut self,
+        now: Duration,
+        wall_ms: u64,
+        from: SocketAddr,
+        datagram: &peer::Datagram,
+    ) -> Vec<Outgoing> {
+        if !self.is_acceptable(wall_ms, from, datagram) {
+            return Vec::new();
+        }
+        let sender = datagram.sender;
+        if let Some(news) = &datagram.digest {
+            self.take_in(now, sender, news);
+        }
+        self.follow_deaths(now);
+        let mut outgoing = match datagram.kind() {
+            peer::DatagramKind::Unspecified => Vec::new(),
+            peer::DatagramKind::Ping => vec![self.answer(now, from, datagram)],
+            peer::DatagramKind::Ack => self.answered(now, datagram),
+            peer::DatagramKind::PingRequest => self.probe_for(now, from, datagram),
+        };
+        if datagram.kind() != peer::DatagramKind::Ping {
+            outgoing.extend(self.introduce_or_remind(now, from, datagram));
+        }
+        outgoing
+    }
+
+    fn is_acceptable(&mut self, wall_ms: u64, from: SocketAddr, datagram: &peer::Datagram) -> bool {
+        if datagram.sender == 0
+            || datagram.sender == self.me.node
+            || datagram.kind() == peer::DatagramKind::Unspecified
+        {
+            self.counters.malformed += 1;
+            return false;
+        }
+        let bound_ms = self.config.stale_bound.as_millis() as u64;
+        if wall_ms.abs_diff(datagram.sent_at_ms) > bound_ms {
+            self.counters.stale += 1;
+            return false;
+        }
+        let known = self.table.get(datagram.sender);
+        if known.is_some_and(|known| known.state != State::Dead && known.address != from) {
+            self.counters.wrong_address += 1;
+            return false;
+        }
+        true
+    }
+
+    fn take_in(&mut self, now: Duration, sender: id::NodeId, digest: &peer::Digest) {
+        self.heard_version = self.heard_version.max(digest.release_version);
+        for member in &digest.members {
+            if member.node == self.me.node {
+                self.refute(member);
+            } else {
+                self.table.apply(now, member, sender);
+            }
+        }
+        let changes = &mut self.table.changes;
+        changes.drain(..changes.len().saturating_sub(CHANGE_LIMIT));
+        let new = self.news.merge(now, digest);
+        self.fresh.extend(new);
+        self.fresh.drain(..self.fresh.len().saturating_sub(FRESH_LIMIT));
+    }
+
+    /// Raises the own incarnation above news that this node is suspect or dead.
+    fn refute(&mut self, news: &peer::Member) {
+        let is_bad = matches!(news.state(), peer::MemberState::Suspect | peer::MemberState::Dead);
+        let stopped = self.me.state() == peer::MemberState::Dead;
+        if !is_bad || stopped || news.incarnation < self.me.incarnation {
+            return;
+        }
+        self.me.incarnation = news.incarnation.saturating_add(1);
+        self.counters.refutations += 1;
+        self.table.broadcasts.add(self.me.node);
+    }
+
+    fn answer(&mut self, now: Duration, from: SocketAddr, ping: &peer::Datagram) -> Outgoing {
+        let sender = ping.sender;
+        let mut ack = self.datagram(peer::DatagramKind::Ack, ping.probe, self.me.node);
+        ack.introduce = self.wants_record(ping);
+        let show_me = ping.introduce || ping.target != self.me.node;
+        self.fill(now, &mut ack, sender, show_me);
+        Outgoing { to: from, datagram: ack }
+    }
+
+    fn answered(&mut self, now: Duration, ack: &peer::Datagram) -> Vec<Outgoing> {
+        self.probes.answered(ack.probe, ack.target);
+        if ack.target != ack.sender {
+            return Vec::new();
+        }
+        let Some(relay) = self.probes.take_relay(ack.probe, ack.sender) else {
+            return Vec::new();
+        };
+        let mut datagram = self.datagram(peer::DatagramKind::Ack, relay.asker_probe, relay.target);
+        self.fill(now, &mut datagram, relay.asker, false);
+        vec![Outgoing { to: relay.asker_address, datagram }]
+    }
+
+    fn probe_for(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        request: &peer::Datagram,
+    ) -> Vec<Outgoing> {
+        let Some(target) = self.table.get(request.target) else { return Vec::new() };
+        if target.state == State::Dead {
+            return Vec::new();
+        }
+        let to = target.address;
+        let relay = probe::Relay {
+            asker: request.sender,
+            asker_address: from,
+            asker_probe: request.probe,
+            target: request.target,
+            expires_at: now + self.config.probe_interval,
+        };
+        let Some(number) = self.probes.relay(relay, RELAY_LIMIT) else { return Vec::new() };
+        vec![self.ping(now, to, number, request.target, false)]
+    }
+
+    /// Answers a wish for this node's record, and tells a suspect that it is one.
+    fn introduce_or_remind(
+        &mut self,
+        now: Duration,
+        from: SocketAddr,
+        datagram: &peer::Datagram,
+    ) -> Option<Outgoing> {
+        let sender = datagram.sender;
+        let is_doubted = self.table.get(sender).is_some_and(|known| known.state != State::Alive);
+        let wants_record = self.wants_record(datagram);
+        if !datagram.introduce && !is_doubted && !wants_record {
+            return None;
+        }
+        let last = self.reminded_at.get(&sender);
+        if last.is_some_and(|&at| now < at + REMIND_INTERVAL) {
+            return None;
+        }
+        self.reminded_at.insert(sender, now);
+        let number = self.probes.number();
+        let mut ping = self.ping(now, from, number, sender, datagram.introduce);
+        ping.datagram.introduce = wants_record;
+        Some(ping)
+    }
+
+    /// Whether the sender is unknown and did not say who it is.
+    fn wants_record(&self, datagram: &peer::Datagram) -> bool {
+        let members = datagram.digest.iter().flat_map(|digest| &digest.members);
+        let told = members.into_iter().any(|member| member.node == datagram.sender);
+        self.table.get(datagram.sender).is_none() && !told
+    }
+
+    /// Notices that this process did not run for a while and then blames nobody for it.
+    fn see_pause(&mut self, now: Duration) {
+        let gap = now.saturating_sub(self.last_tick.unwrap_or(now));
+        self.last_tick = Some(now);
+        if gap > self.config.pause_bound {
+            self.counters.pauses += 1;
+            self.probes.forget_outstanding();
+            self.table.extend_suspicions(gap);
+        }
+    }
+
+    fn probe_next(&mut self, now: Duration) -> Option<Outgoing> {
+        self.probes_sent += 1;
+        let data_centre = &self.me.data_centre;
+        let table = &self.table;
+        let is_running = |node| table.get(node).is_some_and(|known| known.state != State::Dead);
+        let all = || table.running().map(|known| known.record.node).collect::<Vec<_>>();
+        let local = || {
+            let running = table.running();
+            let near = running.filter(|known| known.record.data_centre == *data_centre);
+            near.map(|known| known.record.node).collect::<Vec<_>>()
+        };
+        let near = match self.probes_sent % 2 {
+            0 => self.local_round.next(local, is_running, &mut self.rng),
+            _ => None,
+        };
+        let target = match near {
+            Some(node) => node,
+            None => self.round.next(all, is_running, &mut self.rng)?,
+        };
+        let known = self.table.get(target).expect("a round gives nodes that run");
+        let (to, incarnation) = (known.address, known.record.incarnation);
+        let number = self.probes.start(probe::Outstanding {
+            target,
+            incarnation,
+            indirect_at: now + self.config.probe_timeout,
+            failed_at: now + self.config.probe_interval,
+            asked_others: false,
+        });
+        Some(self.ping(now, to, number, target, false))
+    }
+
+    fn ask_others(
+        &mut self,
+        now: Duration,
+        number: probe::ProbeNumber,
+        target: id::NodeId,
+    ) -> Vec<Outgoing> {
+        let others: Vec<(id::NodeId, SocketAddr)> = self
+            .table
+            .running()
+            .filter(|known| known.state == State::Alive && known.record.node != target)
+            .map(|known| (known.record.node, known.address))
+            .collect();
+        let count = self.config.indirect_probes;
+        let chosen: Vec<(id::NodeId, SocketAddr)> =
+            others.choose_multiple(&mut self.rng, count).copied().collect();
+        let mut outgoing = Vec::new();
+        for (node, to) in chosen {
+            let mut request = self.datagram(peer::DatagramKind::PingRequest, number, target);
+            self.fill(now, &mut request, node, false);
+            outgoing.push(Outgoing { to, datagram: request });
+        }
+        outgoing
+    }
+
+    fn probe_failed(&mut self, now: Duration, failed: &probe::Outstanding) -> Option<Outgoing> {
+        self.counters.failed_probes += 1;
+        let me = self.me.node;
+        let known = self.table.get(failed.target)?;
+        if known.record.incarnation != failed.incarnation {
+            return None;
+        }
+        self.table.suspect(now, failed.target, failed.incarnation, me, Why::NoAnswer);
+        self.tell(now, failed.target)
+    }
+
+    /// A ping outside of the rounds, which tells a node what is known of it.
+    fn tell(&mut self, now: Duration, node: id::NodeId) -> Option<Outgoing> {
+        let to = self.table.get(node)?.address;
+        let number = self.probes.number();
+        Some(self.ping(now, to, number, node, false))
+    }
+
+    fn tell_record(&mut self, now: Duration, node: id::NodeId) -> Option<Outgoing> {
+        let to = self.table.get(node)?.address;
+        let number = self.probes.number();
+        Some(self.ping(now, to, number, node, true))
+    }
+
+    fn try_contacts(&mut self, now: Duration) -> Vec<Outgoing> {
+        let own = self.me.datagram_address.clone();
+        let table = &self.table;
+        let is_taken =
+            |address: SocketAddr| table.at(address).is_some() || address.to_string() == own;
+        let due = self.contacts.due(now, CONTACTS_PER_INTERVAL, is_taken, &mut self.rng);
+        let mut outgoing = Vec::new();
+        for to in due {
+            let dead = self.table.iter().find(|known| known.address == to);
+            let receiver = dead.map_or(0, |known| known.record.node);
+            let number = self.probes.number();
+            let mut ping = self.datagram(peer::DatagramKind::Ping, number, 0);
+            ping.introduce = true;
+            let digest = ping.digest.get_or_insert_default();
+            digest.members.push(self.me.clone());
+            digest.members.extend(self.table.news_of(receiver));
+            outgoing.push(Outgoing { to, datagram: ping });
+        }
+        outgoing
+    }
+
+    /// Keeps on trying the addresses of nodes that may only be out of reach.
+    fn follow_deaths(&mut self, now: Duration) {
+        let newly_dead = |known: &&Known| {
+            known.state == State::Dead && known.changed_at == now && !known.gone_for_good
+        };
+        let addresses: Vec<SocketAddr> =
+            self.table.iter().filter(newly_dead).map(|known| known.address).collect();
+        for address in addresses {
+            self.contacts.add(now, address, &mut self.rng);
+        }
+    }
+
+    fn expire(&mut self, now: Duration) {
+        self.probes.expire_relays(now);
+        if now < self.next_expiry_at {
+            return;
+        }
+        self.next_expiry_at = now + EXPIRE_INTERVAL;
+        self.table.forget(now, self.config.dead_life);
+        self.news.expire(now);
+        self.reminded_at.retain(|_, &mut at| now < at + REMIND_INTERVAL);
+        let table = &self.table;
+        let is_wanted = |address: SocketAddr| {
+            let is_there = |known: &Known| {
+                known.address == address && known.state == State::Dead && !known.gone_for_good
+            };
+            table.iter().any(is_there)
+        };
+        self.contacts.retain(is_wanted);
+    }
+
+    fn datagram(
+        &self,
+        kind: peer::DatagramKind,
+        number: probe::ProbeNumber,
+        target: id::NodeId,
+    ) -> peer::Datagram {
+        let digest = peer::Digest { release_version: self.release_version, ..Default::default() };
+        peer::Datagram {
+            kind: kind.into(),
+            sender: self.me.node,
+            probe: number,
+            target,
+            digest: Some(digest),
+            ..Default::default()
+        }
+    }
+
+    fn ping(
+        &mut self,
+        now: Duration,
+        to: SocketAddr,
+        number: probe::ProbeNumber,
+        target: id::NodeId,
+        show_me: bool,
+    ) -> Outgoing {
+        let mut ping = self.datagram(peer::DatagramKind::Ping, number, target);
+        self.fill(now, &mut ping, target, show_me);
+        Outgoing { to, datagram: ping }
+    }
+
+    /// Fills the digest for `receiver`: what concerns the two, membership news, samples, other news.
+    fn fill(
+        &mut self,
+        now: Duration,
+        datagram: &mut peer::Datagram,
+        receiver: id::NodeId,
+        show_me: bool,
+    ) {
+        let nodes = self.table.running().count() + 1;
+        let limit = broadcast::tellings(nodes);
+        let digest = datagram.digest.get_or_insert_default();
+        let mut room = Room { left_bytes: self.config.datagram_bytes - ENVELOPE_BYTES };
+        if show_me {
+            room.add(digest, self.me.clone());
+            self.table.broadcasts.count(self.me.node, limit);
+        }
+        if self.table.get(receiver).is_some_and(|known| known.state != State::Alive) {
+            digest.members.extend(self.table.news_of(receiver).filter(|news| room.takes(news)));
+        }
+        for node in self.table.broadcasts.order() {
+            if digest.members.iter().any(|member| member.node == node) {
+                continue;
+            }
+            let Some(news) = self.news_of(node) else {
+                self.table.broadcasts.remove(node);
+                continue;
+            };
+            if !room.add(digest, news) {
+                break;
+            }
+            self.table.broadcasts.count(node, limit);
+        }
+        self.add_samples(digest, &mut room);
+        let used_bytes = digest.encoded_len() + ENVELOPE_BYTES;
+        let budget_bytes = self.config.news_bytes.saturating_sub(used_bytes);
+        self.news.fill(now, digest, budget_bytes, limit);
+    }
+
+    fn add_samples(&mut self, digest: &mut peer::Digest, room: &mut Room) {
+        for _ in 0..self.config.sampled_members {
+            let me = self.me.node;
+            let table = &self.table;
+            let is_alive = |node| table.get(node).is_some_and(|known| known.state == State::Alive);
+            let all = || {
+                let running = table.running().map(|known| known.record.node);
+                running.chain([me]).collect::<Vec<_>>()
+            };
+            let Some(node) =
+                self.sample_round.next(all, |node| node == me || is_alive(node), &mut self.rng)
+            else {
+                return;
+            };
+            let told = digest.members.iter().any(|member| member.node == node);
+            if let Some(news) = self.news_of(node).filter(|_| !told) {
+                room.add(digest, news);
+            }
+        }
+    }
+
+    fn news_of(&self, node: id::NodeId) -> Option<peer::Member> {
+        if node == self.me.node { Some(self.me.clone()) } else { self.table.news_of(node) }
+    }
+}
+
+/// Room left in a datagram.
+struct Room {
+    left_bytes: usize,
+}
+
+impl Room {
+    /// Takes the bytes of `news`, if there is room for them.
+    fn takes(&mut self, news: &peer::Member) -> bool {
+        let bytes = digest::nested_bytes(news.encoded_len());
+        let fits = bytes <= self.left_bytes;
+        if fits {
+            self.left_bytes -= bytes;
+        }
+        fits
+    }
+
+    fn add(&mut self, digest: &mut peer::Digest, news: peer::Member) -> bool {
+        let fits = self.takes(&news);
+        if fits {
+            digest.members.push(news);
+        }
+        fits
+    }
+}
--- /dev/null
+++ b/rhubarbrock/src/probe.rs
@@ -0,0 +1,132 @@
+//! Whom a node probes next, and the probes whose answer is outstanding.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+
+use crate::id;
+
+/// Number of a probe, unique within the node that sent it.
+pub(crate) type ProbeNumber = u64;
+
+/// A probe of this node that was not answered yet.
+#[derive(Debug, Clone)]
+pub(crate) struct Outstanding {
+    pub(crate) target: id::NodeId,
+    pub(crate) incarnation: u32,
+    pub(crate) indirect_at: Duration,
+    pub(crate) failed_at: Duration,
+    pub(crate) asked_others: bool,
+}
+
+/// A probe sent for another node.
+#[derive(Debug, Clone)]
+pub(crate) struct Relay {
+    pub(crate) asker: id::NodeId,
+    pub(crate) asker_address: SocketAddr,
+    pub(crate) asker_probe: ProbeNumber,
+    pub(crate) target: id::NodeId,
+    pub(crate) expires_at: Duration,
+}
+
+/// A shuffled round over nodes, so that each is probed once in a round.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Round {
+    left: Vec<id::NodeId>,
+}
+
+impl Round {
+    /// The next node that still runs; starts a new round over `nodes` after the last.
+    pub(crate) fn next(
+        &mut self,
+        nodes: impl Fn() -> Vec<id::NodeId>,
+        is_running: impl Fn(id::NodeId) -> bool,
+        rng: &mut ChaCha8Rng,
+    ) -> Option<id::NodeId> {
+        while let Some(node) = self.left.pop() {
+            if is_running(node) {
+                return Some(node);
+            }
+        }
+        self.left = nodes();
+        self.left.shuffle(rng);
+        self.left.pop()
+    }
+}
+
+/// Probes in flight, of this node and for others.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Probes {
+    last: ProbeNumber,
+    outstanding: BTreeMap<ProbeNumber, Outstanding>,
+    relays: BTreeMap<ProbeNumber, Relay>,
+}
+
+impl Probes {
+    pub(crate) fn number(&mut self) -> ProbeNumber {
+        self.last += 1;
+        self.last
+    }
+
+    pub(crate) fn start(&mut self, probe: Outstanding) -> ProbeNumber {
+        let number = self.number();
+        self.outstanding.insert(number, probe);
+        number
+    }
+
+    /// Ends the probe if `node` is the one probed.
+    pub(crate) fn answered(&mut self, number: ProbeNumber, node: id::NodeId) {
+        if self.outstanding.get(&number).is_some_and(|probe| probe.target == node) {
+            self.outstanding.remove(&number);
+        }
+    }
+
+    /// Probes for which others are to be asked now, each given once.
+    pub(crate) fn turn_indirect(&mut self, now: Duration) -> Vec<(ProbeNumber, id::NodeId)> {
+        let mut due = Vec::new();
+        for (&number, probe) in &mut self.outstanding {
+            if !probe.asked_others && probe.indirect_at <= now {
+                probe.asked_others = true;
+                due.push((number, probe.target));
+            }
+        }
+        due
+    }
+
+    /// Takes out the probes whose time is over.
+    pub(crate) fn failed(&mut self, now: Duration) -> Vec<Outstanding> {
+        self.outstanding
+            .extract_if(.., |_, probe| probe.failed_at <= now)
+            .map(|(_, probe)| probe)
+            .collect()
+    }
+
+    /// Drops all probes of this node, which was paused and can't say who failed to answer.
+    pub(crate) fn forget_outstanding(&mut self) {
+        self.outstanding.clear();
+    }
+
+    /// Starts a probe for another node, unless `limit` of these are in flight.
+    pub(crate) fn relay(&mut self, relay: Relay, limit: usize) -> Option<ProbeNumber> {
+        if self.relays.len() >= limit {
+            return None;
+        }
+        let number = self.number();
+        self.relays.insert(number, relay);
+        Some(number)
+    }
+
+    pub(crate) fn take_relay(&mut self, number: ProbeNumber, node: id::NodeId) -> Option<Relay> {
+        if self.relays.get(&number)?.target != node {
+            return None;
+        }
+        self.relays.remove(&number)
+    }
+
+    pub(crate) fn expire_relays(&mut self, now: Duration) {
+        self.relays.retain(|_, relay| relay.expires_at > now);
+    }
+}
--- /dev/null
+++ b/rhubarbrock/src/rendezvous.rs
@@ -0,0 +1,32 @@
+//! Rendezvous hashing: an order of nodes for a key that every node computes alike.
+//!
+//! When a node goes, only the keys that it came first for move.
+
+use std::cmp::Reverse;
+
+use xxhash_rust::xxh3;
+
+use crate::id;
+
+/// Score of `node` for `key`; the highest comes first.
+pub fn score(key: u64, node: id::NodeId) -> u64 {
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&key.to_le_bytes());
+    bytes[8..].copy_from_slice(&node.to_le_bytes());
+    xxh3::xxh3_64(&bytes)
+}
+
+/// Orders `nodes` for `key`, best first, whatever order they come in.
+pub fn rank(key: u64, nodes: impl IntoIterator<Item = id::NodeId>) -> Vec<id::NodeId> {
+    let mut ranked: Vec<id::NodeId> = nodes.into_iter().collect();
+    ranked.sort_unstable_by_key(|&node| (Reverse(score(key, node)), node));
+    ranked.dedup();
+    ranked
+}
+
+/// The best `count` of `nodes` for `key`, best first.
+pub fn top(key: u64, nodes: impl IntoIterator<Item = id::NodeId>, count: usize) -> Vec<id::NodeId> {
+    let mut ranked = rank(key, nodes);
+    ranked.truncate(count);
+    ranked
+}
--- /dev/null
+++ b/rhubarbrock/tests/membership.rs
@@ -0,0 +1,253 @@
+//! The failure detector under loss, delay, doubling, reordering, pauses and deaths.
+
+mod network;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use network::{Faults, Fleet};
+use rhubarbrock::membership::{ChangeKind, State, Why};
+use rhubarbrock::{digest, rendezvous, suspicion, watch};
+use rhubarbrock_schema::peer;
+
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const SUSPICION_UNIT: Duration = Duration::from_millis(600);
+
+/// Bound on the time until each of `nodes` nodes holds a dead one for dead: two rounds of probes,
+/// the probe, the longest suspicion, and a second to spread for each doubling of their number.
+fn death_bound(nodes: usize) -> Duration {
+    let spread = PROBE_INTERVAL * (usize::BITS - nodes.leading_zeros());
+    PROBE_INTERVAL * (2 * nodes as u32 + 1) + suspicion::longest(SUSPICION_UNIT, nodes) + spread
+}
+
+#[test]
+fn all_join_by_one_address_and_stale_ones() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(8, seed, Faults::none());
+        fleet.join_all_by_first();
+        fleet.run(Duration::from_secs(20));
+        for node in 0..8 {
+            assert_eq!(fleet.alive_at(node).len(), 7, "seed {seed}, node {node}");
+        }
+    }
+}
+
+#[test]
+fn no_node_dies_that_answers_in_time() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::joined(8, seed);
+        fleet.faults = Faults { delay_ms: 1..150, doubled_percent: 10, ..Faults::none() };
+        fleet.run(Duration::from_secs(300));
+        assert_eq!(fleet.count(ChangeKind::Suspected), 0, "seed {seed}");
+        assert_eq!(fleet.count(ChangeKind::Dead), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_killed_node_is_dead_everywhere_within_the_bound() {
+    for seed in 0..40 {
+        let nodes = 3 + (seed % 6) as usize;
+        let mut fleet = Fleet::joined(nodes, seed);
+        fleet.faults = Faults { delay_ms: 1..150, lost_percent: 10, doubled_percent: 10 };
+        fleet.kill(0);
+        fleet.run(death_bound(nodes));
+        for node in 1..nodes {
+            let state = fleet.state_at(node, 0);
+            assert_eq!(state, Some(State::Dead), "seed {seed}, node {node} of {nodes}");
+        }
+    }
+}
+
+#[test]
+fn short_pauses_and_loss_kill_nobody_for_good() {
+    let mut suspected = 0;
+    let mut dead = 0;
+    for seed in 0..20 {
+        let mut fleet = Fleet::joined(8, seed);
+        fleet.faults = Faults { delay_ms: 1..150, lost_percent: 10, ..Faults::none() };
+        for round in 0..6 {
+            fleet.pause(round % 8, Duration::from_millis(1_900));
+            fleet.run(Duration::from_secs(10));
+        }
+        suspected += fleet.count(ChangeKind::Suspected);
+        dead += fleet.count(ChangeKind::Dead);
+        fleet.faults = Faults::none();
+        fleet.run(Duration::from_secs(60));
+        for node in 0..8 {
+            assert_eq!(fleet.alive_at(node).len(), 7, "seed {seed}, node {node}");
+        }
+    }
+    println!("20 seeds x 8 nodes x 60 s, 10% lost: {suspected} suspicions, {dead} false deaths");
+}
+
+#[test]
+fn a_node_that_wakes_from_a_long_pause_blames_nobody_and_comes_back() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::joined(6, seed);
+        fleet.run(Duration::from_millis(50) * (seed as u32 + 1));
+        fleet.pause(2, Duration::from_secs(60));
+        fleet.run(Duration::from_secs(59));
+        assert_eq!(fleet.state_at(0, 2), Some(State::Dead), "seed {seed}");
+        let before = fleet.count(ChangeKind::Dead);
+        fleet.run(Duration::from_secs(61));
+        assert_eq!(fleet.count(ChangeKind::Dead), before, "seed {seed}");
+        let blamed = fleet.changes[2].iter().any(|change| change.why == Why::NoAnswer);
+        assert!(!blamed, "seed {seed}");
+        for node in 0..6 {
+            assert_eq!(fleet.alive_at(node).len(), 5, "seed {seed}, node {node}");
+        }
+    }
+}
+
+#[test]
+fn parted_regions_join_again() {
+    for seed in 0..10 {
+        let mut fleet = Fleet::joined(8, seed);
+        fleet.unlist();
+        fleet.part(&[0, 1, 2]);
+        fleet.run(Duration::from_secs(240));
+        assert_eq!(fleet.alive_at(0).len(), 2, "seed {seed}");
+        assert_eq!(fleet.alive_at(7).len(), 4, "seed {seed}");
+        fleet.part(&[]);
+        fleet.run(Duration::from_secs(120));
+        for node in 0..8 {
+            assert_eq!(fleet.alive_at(node).len(), 7, "seed {seed}, node {node}");
+        }
+    }
+}
+
+#[test]
+fn a_restarted_process_replaces_the_old_one_at_once() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::joined(5, seed);
+        let old = fleet.id(3);
+        fleet.restart(3);
+        fleet.run(PROBE_INTERVAL * 3);
+        let new = fleet.id(3);
+        for node in [0, 1, 2, 4] {
+            let why = fleet.changes[node]
+                .iter()
+                .find(|change| change.node == old && change.kind == ChangeKind::Dead)
+                .map(|change| change.why);
+            let is_told = matches!(why, Some(Why::Told { .. }));
+            assert!(is_told || why == Some(Why::Replaced { by: new }), "seed {seed}: {why:?}");
+        }
+    }
+}
+
+#[test]
+fn old_news_brings_no_dead_node_back() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::joined(6, seed);
+        let old_datagrams = fleet.recorded();
+        fleet.kill(1);
+        fleet.run(death_bound(6));
+        let joins = fleet.count(ChangeKind::Joined);
+        fleet.replay(&old_datagrams);
+        fleet.run(Duration::from_secs(30));
+        assert_eq!(fleet.count(ChangeKind::Joined), joins, "seed {seed}");
+        for node in [0, 2, 3, 4, 5] {
+            assert_eq!(fleet.state_at(node, 1), Some(State::Dead), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn leaving_is_told_to_all_and_a_stop_needs_no_suspicion() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::joined(8, seed);
+        fleet.leave(4);
+        fleet.run(PROBE_INTERVAL * 6);
+        for node in (0..8).filter(|&node| node != 4) {
+            assert!(fleet.known(node, 4).is_some_and(|known| known.leaving), "seed {seed}");
+        }
+        fleet.stop(4);
+        fleet.run(PROBE_INTERVAL * 6);
+        for node in (0..8).filter(|&node| node != 4) {
+            assert_eq!(fleet.state_at(node, 4), Some(State::Dead), "seed {seed}");
+        }
+        let timed_out = fleet.changes.iter().flatten().any(|change| change.why == Why::NotRefuted);
+        assert!(!timed_out, "seed {seed}");
+    }
+}
+
+#[test]
+fn datagrams_stay_within_their_size_and_rate() {
+    let mut fleet = Fleet::joined(8, 1);
+    for endpoint in 1..=600 {
+        fleet.observe_load(0, endpoint, 1);
+    }
+    fleet.sent_bytes = 0;
+    fleet.largest_bytes = 0;
+    fleet.run(Duration::from_secs(60));
+    assert!(fleet.largest_bytes <= 1_200 - 32, "{} bytes", fleet.largest_bytes);
+    let per_node = fleet.sent_bytes / 60 / 8;
+    assert!(per_node <= 3_000 / 2, "{per_node} bytes/s sent by a node");
+}
+
+#[test]
+fn dropped_are_stale_forged_and_foreign_datagrams() {
+    let mut fleet = Fleet::joined(3, 1);
+    let mut ping = fleet.ping_from(1, 0);
+    ping.sent_at_ms -= 60_000;
+    assert!(fleet.deliver(0, fleet.address(1), &ping).is_empty());
+    assert_eq!(fleet.node(0).counters().stale, 1);
+    ping.sent_at_ms += 60_000;
+    assert!(fleet.deliver(0, fleet.address(2), &ping).is_empty());
+    assert_eq!(fleet.node(0).counters().wrong_address, 1);
+    ping.sender = 0;
+    assert!(fleet.deliver(0, fleet.address(1), &ping).is_empty());
+    assert_eq!(fleet.node(0).counters().malformed, 1);
+}
+
+#[test]
+fn news_reaches_all_and_only_newer_news_counts() {
+    let mut fleet = Fleet::joined(8, 3);
+    fleet.observe_load(0, 70, 5);
+    fleet.run(PROBE_INTERVAL * 10);
+    let now = fleet.now();
+    for node in 0..8 {
+        let load = fleet.node(node).news().load(now, 70).expect("told to all");
+        assert_eq!(load.sequence, 5);
+        assert!(load.age_ms <= 10_100);
+        let older = peer::EndpointLoad { endpoint: 70, sequence: 4, ..Default::default() };
+        assert!(!fleet.node(node).news().put(now, digest::Item::Load(older)));
+    }
+}
+
+#[test]
+fn news_is_bounded_and_expires() {
+    let mut news = digest::News::new(100);
+    for endpoint in 1..=1_000 {
+        let load = peer::EndpointLoad { endpoint, sequence: 1, ..Default::default() };
+        assert!(news.put(Duration::ZERO, digest::Item::Load(load)));
+        assert!(news.len() <= 100);
+    }
+    news.expire(Duration::from_secs(3_600));
+    assert!(news.is_empty());
+}
+
+#[test]
+fn endpoints_are_watched_by_two_nodes_of_their_data_centre() {
+    let mut fleet = Fleet::joined(8, 5);
+    for endpoint in 1..50 {
+        let chosen = watch::watchers(fleet.node(0), endpoint, "dc1");
+        let all: Vec<_> =
+            (0..8).map(|node| watch::watchers(fleet.node(node), endpoint, "dc1")).collect();
+        assert!(all.iter().all(|other| *other == chosen), "endpoint {endpoint}");
+        let near: BTreeSet<_> = [1, 4, 7].map(|node| fleet.id(node)).into();
+        assert_eq!(chosen.len(), 2);
+        assert!(chosen.iter().all(|node| near.contains(node)));
+    }
+    assert_eq!(watch::watchers(fleet.node(0), 1, "elsewhere").len(), 2);
+}
+
+#[test]
+fn rendezvous_moves_only_what_a_lost_node_had() {
+    let nodes: Vec<u64> = (1..=9).collect();
+    for key in 0..200 {
+        let before = rendezvous::top(key, nodes.iter().copied(), 1)[0];
+        let after = rendezvous::top(key, nodes.iter().copied().filter(|&node| node != 9), 1)[0];
+        assert!(before == 9 || before == after);
+    }
+}
--- /dev/null
+++ b/rhubarbrock/tests/network/mod.rs
@@ -0,0 +1,305 @@
+//! Fake datagrams between a few nodes' states: a list of messages, each lost, late or doubled by
+//! chance. What comes to a paused node is lost.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::ops::Range;
+use std::time::Duration;
+
+use prost::Message;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rhubarbrock::{digest, membership};
+use rhubarbrock_schema::peer;
+
+const STEP: Duration = Duration::from_millis(50);
+const WALL_START_MS: u64 = 1_800_000_000_000;
+
+/// What happens to each message, by chance.
+#[derive(Clone)]
+pub(crate) struct Faults {
+    pub(crate) delay_ms: Range<u64>,
+    pub(crate) lost_percent: u32,
+    pub(crate) doubled_percent: u32,
+}
+
+impl Faults {
+    pub(crate) fn none() -> Faults {
+        Faults { delay_ms: 1..10, lost_percent: 0, doubled_percent: 0 }
+    }
+}
+
+/// A datagram on its way.
+#[derive(Clone)]
+pub(crate) struct Letter {
+    from: SocketAddr,
+    to: SocketAddr,
+    datagram: peer::Datagram,
+}
+
+struct Process {
+    membership: membership::Membership,
+    paused_until: Duration,
+    is_dead: bool,
+}
+
+/// The nodes' states and the messages between them.
+pub(crate) struct Fleet {
+    pub(crate) faults: Faults,
+    pub(crate) changes: Vec<Vec<membership::Change>>,
+    pub(crate) sent_bytes: usize,
+    pub(crate) largest_bytes: usize,
+    processes: Vec<Process>,
+    letters: BTreeMap<(Duration, u64), Letter>,
+    sent: Vec<Letter>,
+    serial: u64,
+    parted: BTreeSet<usize>,
+    now: Duration,
+    rng: ChaCha8Rng,
+}
+
+pub(crate) fn address_of(node: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (node / 250) as u8, (node % 250) as u8 + 1], 7_000))
+}
+
+fn record(node: usize, id: u64, started_at_ms: u64) -> peer::Member {
+    peer::Member {
+        node: id,
+        name: format!("node-{node}"),
+        data_centre: format!("dc{}", node % 3),
+        datagram_address: address_of(node).to_string(),
+        peer_address: address_of(node).to_string(),
+        caller_address: address_of(node).to_string(),
+        started_at_ms,
+        ..Default::default()
+    }
+}
+
+impl Fleet {
+    pub(crate) fn new(nodes: usize, seed: u64, faults: Faults) -> Fleet {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let processes = (0..nodes)
+            .map(|node| {
+                let me = record(node, rng.random_range(1..u64::MAX), WALL_START_MS);
+                let config = membership::Config::default();
+                Process {
+                    membership: membership::Membership::new(config, me, rng.random()),
+                    paused_until: Duration::ZERO,
+                    is_dead: false,
+                }
+            })
+            .collect();
+        Fleet {
+            faults,
+            changes: vec![Vec::new(); nodes],
+            sent_bytes: 0,
+            largest_bytes: 0,
+            processes,
+            letters: BTreeMap::new(),
+            sent: Vec::new(),
+            serial: 0,
+            parted: BTreeSet::new(),
+            now: Duration::from_secs(1),
+            rng,
+        }
+    }
+
+    /// A fleet in which all know each other.
+    pub(crate) fn joined(nodes: usize, seed: u64) -> Fleet {
+        let mut fleet = Fleet::new(nodes, seed, Faults::none());
+        fleet.join_all_by_first();
+        fleet.run(Duration::from_secs(20));
+        for node in 0..nodes {
+            assert_eq!(fleet.alive_at(node).len(), nodes - 1, "seed {seed}: not joined");
+        }
+        fleet.changes.iter_mut().for_each(Vec::clear);
+        fleet
+    }
+
+    pub(crate) fn join_all_by_first(&mut self) {
+        for process in &mut self.processes {
+            process.membership.join(self.now, &[address_of(0), address_of(999)]);
+        }
+    }
+
+    /// Takes the addresses to join by away again.
+    pub(crate) fn unlist(&mut self) {
+        for process in &mut self.processes {
+            process.membership.join(self.now, &[]);
+        }
+        self.run(Duration::from_secs(10));
+    }
+
+    pub(crate) fn now(&self) -> Duration {
+        self.now
+    }
+
+    pub(crate) fn node(&mut self, node: usize) -> &mut membership::Membership {
+        &mut self.processes[node].membership
+    }
+
+    pub(crate) fn id(&self, node: usize) -> u64 {
+        self.processes[node].membership.me().node
+    }
+
+    pub(crate) fn address(&self, node: usize) -> SocketAddr {
+        address_of(node)
+    }
+
+    pub(crate) fn known(&self, at: usize, node: usize) -> Option<&membership::Known> {
+        self.processes[at].membership.member(self.id(node))
+    }
+
+    pub(crate) fn state_at(&self, at: usize, node: usize) -> Option<membership::State> {
+        self.known(at, node).map(|known| known.state)
+    }
+
+    pub(crate) fn alive_at(&self, at: usize) -> Vec<u64> {
+        let members = self.processes[at].membership.members();
+        let alive = members.filter(|known| known.state == membership::State::Alive);
+        alive.map(|known| known.record.node).collect()
+    }
+
+    pub(crate) fn count(&self, kind: membership::ChangeKind) -> usize {
+        self.changes.iter().flatten().filter(|change| change.kind == kind).count()
+    }
+
+    pub(crate) fn kill(&mut self, node: usize) {
+        self.processes[node].is_dead = true;
+    }
+
+    pub(crate) fn pause(&mut self, node: usize, time: Duration) {
+        self.processes[node].paused_until = self.now + time;
+    }
+
+    pub(crate) fn part(&mut self, nodes: &[usize]) {
+        self.parted = nodes.iter().copied().collect();
+    }
+
+    pub(crate) fn leave(&mut self, node: usize) {
+        let now = self.now;
+        self.node(node).leave(now);
+    }
+
+    pub(crate) fn stop(&mut self, node: usize) {
+        let outgoing = self.processes[node].membership.stop(self.now);
+        self.send(node, outgoing);
+        self.kill(node);
+    }
+
+    pub(crate) fn restart(&mut self, node: usize) {
+        let me = record(node, self.rng.random_range(1..u64::MAX), self.wall_ms());
+        let config = membership::Config::default();
+        let mut new = membership::Membership::new(config, me, self.rng.random());
+        new.join(self.now, &[address_of(0)]);
+        self.processes[node].membership = new;
+    }
+
+    pub(crate) fn observe_load(&mut self, node: usize, endpoint: u64, sequence: u64) {
+        let load = peer::EndpointLoad { endpoint, sequence, running: 9, ..Default::default() };
+        let now = self.now;
+        self.node(node).news().put(now, digest::Item::Load(load));
+    }
+
+    pub(crate) fn recorded(&self) -> Vec<Letter> {
+        self.sent.clone()
+    }
+
+    pub(crate) fn replay(&mut self, letters: &[Letter]) {
+        for letter in letters {
+            self.serial += 1;
+            self.letters.insert((self.now, self.serial), letter.clone());
+        }
+    }
+
+    pub(crate) fn ping_from(&self, from: usize, to: usize) -> peer::Datagram {
+        peer::Datagram {
+            kind: peer::DatagramKind::Ping.into(),
+            sender: self.id(from),
+            probe: 1,
+            target: self.id(to),
+            sent_at_ms: self.wall_ms(),
+            ..Default::default()
+        }
+    }
+
+    pub(crate) fn deliver(
+        &mut self,
+        to: usize,
+        from: SocketAddr,
+        datagram: &peer::Datagram,
+    ) -> Vec<membership::Outgoing> {
+        let (now, wall_ms) = (self.now, self.wall_ms());
+        self.node(to).receive(now, wall_ms, from, datagram)
+    }
+
+    pub(crate) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver_due();
+            for node in 0..self.processes.len() {
+                if self.runs(node) {
+                    let outgoing = self.processes[node].membership.tick(self.now);
+                    self.send(node, outgoing);
+                    let changes = self.processes[node].membership.changes();
+                    self.changes[node].extend(changes);
+                    self.processes[node].membership.fresh();
+                }
+            }
+        }
+    }
+
+    fn wall_ms(&self) -> u64 {
+        WALL_START_MS + self.now.as_millis() as u64
+    }
+
+    fn runs(&self, node: usize) -> bool {
+        let process = &self.processes[node];
+        !process.is_dead && process.paused_until <= self.now
+    }
+
+    fn deliver_due(&mut self) {
+        let later = self.letters.split_off(&(self.now + Duration::from_nanos(1), 0));
+        let due = std::mem::replace(&mut self.letters, later);
+        for (_, letter) in due {
+            let to = (0..self.processes.len()).find(|&node| address_of(node) == letter.to);
+            let Some(to) = to else { continue };
+            if self.runs(to) {
+                let outgoing = self.deliver(to, letter.from, &letter.datagram);
+                self.send(to, outgoing);
+            }
+        }
+    }
+
+    fn send(&mut self, node: usize, outgoing: Vec<membership::Outgoing>) {
+        for outgoing in outgoing {
+            let mut datagram = outgoing.datagram;
+            datagram.sent_at_ms = self.wall_ms();
+            let bytes = datagram.encoded_len();
+            self.sent_bytes += bytes;
+            self.largest_bytes = self.largest_bytes.max(bytes);
+            let letter = Letter { from: address_of(node), to: outgoing.to, datagram };
+            if self.sent.len() < 2_000 {
+                self.sent.push(letter.clone());
+            }
+            self.post(node, letter);
+        }
+    }
+
+    fn post(&mut self, node: usize, letter: Letter) {
+        let to = (0..self.processes.len()).find(|&to| address_of(to) == letter.to);
+        let is_parted =
+            to.is_some_and(|to| self.parted.contains(&node) != self.parted.contains(&to));
+        if is_parted || self.rng.random_range(0..100) < self.faults.lost_percent {
+            return;
+        }
+        let copies =
+            if self.rng.random_range(0..100) < self.faults.doubled_percent { 2 } else { 1 };
+        for _ in 0..copies {
+            let delay = Duration::from_millis(self.rng.random_range(self.faults.delay_ms.clone()));
+            self.serial += 1;
+            self.letters.insert((self.now + delay, self.serial), letter.clone());
+        }
+    }
+}
