Run calls that may not be repeated at most once per key

Cause: a repeated order or payout must not run twice, and callers must be told the truth, while nodes die, pause and lose the log's answers.

Weighed: taking over a silent holder's claim on endpoints that check fencing. The check only says that an older number is refused once a newer one was accepted; the older call may have run before that. A takeover could so run a call twice, so there is none: such a key stays in doubt.

Change: claims, ends and refusals in topic "claims", folded the same way by every node; the first claim owns the key; dispatch after read-back within a bound of the holder's clock. A repetition is told "not run" only after a refusal in the log, which voids claims of calls that arrived earlier (field base).

--- /dev/null
+++ b/rhubarbrock/src/claim_call.rs
@@ -0,0 +1,306 @@
+//! One claimed call: its stage, and what the log and the time make of it.
+
+use std::time::Duration;
+
+use crate::claim::{Conclusion, Config, InDoubt, NewCall, NotRun};
+use crate::claim_table::{self, Entry, KeyHash, Nonce, RequestHash, State, Table, Turn};
+use crate::id::Offset;
+
+/// How far a call has come. Times are monotonic.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// Nothing of it is in the log.
+    Waiting,
+    /// Its claim waits for an append.
+    Queued { at: Duration },
+    /// Its claim was sent and may be in the log.
+    Sent { at: Duration },
+    /// Its refusal waits for an append, or was sent and is not read back.
+    Refusing { at: Duration, reason: NotRun },
+    /// It holds its key and is to be dispatched; nothing has left.
+    Dispatching { sent_at: Duration },
+    /// It may have reached an endpoint.
+    Dispatched { at: Duration },
+}
+
+/// A call under way.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) new: NewCall,
+    pub(crate) key: KeyHash,
+    /// The caller's key, or the one drawn for it.
+    pub(crate) key_text: String,
+    pub(crate) request: RequestHash,
+    pub(crate) place: Option<claim_table::Place>,
+    pub(crate) nonce: Nonce,
+    /// Offset up to which the log was read when the call arrived.
+    pub(crate) base: Offset,
+    pub(crate) begun: Duration,
+    /// When its claim was first queued.
+    pub(crate) first_queued: Duration,
+    pub(crate) stage: Stage,
+    /// Whether the caller was told.
+    pub(crate) told: bool,
+    /// Whether a claim was sent that the log did not refuse.
+    pub(crate) claim_sent: bool,
+    /// Offset at which its claim or refusal was last read back.
+    pub(crate) read_back: Option<Offset>,
+}
+
+impl Call {
+    pub(crate) fn new(
+        new: NewCall,
+        now: Duration,
+        nonce: Nonce,
+        base: Offset,
+        drawn_key: String,
+    ) -> Call {
+        let key_text = new.key.clone().unwrap_or(drawn_key);
+        let place = new.place.as_ref().and_then(|place| {
+            claim_table::place(&new.organisation, &new.service, &place.sequence, place.position)
+        });
+        Call {
+            key: claim_table::key_hash(&new.organisation, &key_text),
+            request: claim_table::half_hash(&new.request_sha256),
+            key_text,
+            place,
+            nonce,
+            base,
+            begun: now,
+            first_queued: now,
+            stage: Stage::Waiting,
+            told: false,
+            claim_sent: false,
+            read_back: None,
+            new,
+        }
+    }
+}
+
+/// What a call is judged by.
+pub(crate) struct View<'a> {
+    pub(crate) now: Duration,
+    pub(crate) config: &'a Config,
+    pub(crate) table: &'a Table,
+    pub(crate) is_caught_up: bool,
+    pub(crate) is_available: bool,
+    pub(crate) covers_key_life: bool,
+}
+
+/// The next step of a call.
+#[derive(Debug)]
+pub(crate) enum Step {
+    /// Wait.
+    Keep,
+    /// Forget the call; its caller was told.
+    Drop,
+    /// Claim the key.
+    Claim,
+    /// Dispatch under this fencing number.
+    Dispatch { fence: Offset, sent_at: Duration },
+    /// Refuse a call that does not hold its key.
+    Refuse(NotRun),
+    /// End the claim of this call as not run.
+    EndNotRun(NotRun),
+    /// End the claim of this call as in doubt.
+    EndInDoubt(InDoubt),
+    /// Tell the caller.
+    Tell(Conclusion),
+}
+
+/// What to do next with a call.
+pub(crate) fn judge(view: &View<'_>, call: &Call) -> Step {
+    let step = judge_stage(view, call);
+    if call.told || view.now <= call.begun + view.config.conclusion_limit() {
+        return step;
+    }
+    match step {
+        Step::Dispatch { .. } => Step::EndNotRun(NotRun::LogSlow),
+        Step::Keep | Step::Claim | Step::Refuse(_) => judge_overdue(view, call),
+        step => step,
+    }
+}
+
+/// The caller must be told now, whatever is still under way.
+fn judge_overdue(view: &View<'_>, call: &Call) -> Step {
+    let is_known = view.table.get(call.key).is_some();
+    match call.stage {
+        Stage::Dispatching { .. } => Step::EndNotRun(NotRun::LogSlow),
+        Stage::Dispatched { .. } => in_doubt(InDoubt::AnswerLate),
+        _ if call.new.repeated || is_known => in_doubt(InDoubt::LogUnavailable),
+        _ => Step::Refuse(NotRun::LogSlow),
+    }
+}
+
+fn judge_stage(view: &View<'_>, call: &Call) -> Step {
+    match call.stage {
+        Stage::Dispatching { sent_at } => {
+            if view.now > sent_at + view.config.dispatch_bound {
+                return Step::EndNotRun(NotRun::LogSlow);
+            }
+            return Step::Keep;
+        }
+        Stage::Dispatched { at } => {
+            if !call.told && view.now > at + view.config.answer_limit {
+                return in_doubt(InDoubt::AnswerLate);
+            }
+            return Step::Keep;
+        }
+        _ => {}
+    }
+    if !view.is_caught_up {
+        return judge_starting(view, call);
+    }
+    match view.table.get(call.key) {
+        None => judge_unheld(view, call),
+        Some(entry) if entry.nonce == call.nonce => judge_own(view, call, entry),
+        Some(_) if call.told && call.read_back.is_some() => Step::Drop,
+        Some(_) if call.told => judge_told(view, call),
+        Some(entry) => judge_other(view, call, entry),
+    }
+}
+
+fn judge_starting(view: &View<'_>, call: &Call) -> Step {
+    if call.told {
+        return Step::Keep;
+    }
+    if !view.is_available {
+        return Step::Refuse(NotRun::LogUnavailable);
+    }
+    if view.now > call.begun + view.config.queue_limit {
+        return starting_refusal(call);
+    }
+    Step::Keep
+}
+
+/// Nothing can be appended before the log is read, so a repetition cannot be refused by the log.
+fn starting_refusal(call: &Call) -> Step {
+    if call.new.repeated {
+        return in_doubt(InDoubt::LogUnavailable);
+    }
+    Step::Refuse(NotRun::Starting)
+}
+
+/// A told call whose claim has not appeared is forgotten when the key's life is over.
+fn judge_told(view: &View<'_>, call: &Call) -> Step {
+    if view.now > call.begun + view.config.key_life {
+        return Step::Drop;
+    }
+    Step::Keep
+}
+
+/// The key is in nobody's hands, or free again.
+fn judge_unheld(view: &View<'_>, call: &Call) -> Step {
+    if call.told {
+        return judge_told(view, call);
+    }
+    let now = view.now;
+    let config = view.config;
+    match call.stage {
+        Stage::Waiting if call.new.repeated && !view.covers_key_life => {
+            in_doubt(InDoubt::LogTooShort)
+        }
+        Stage::Waiting | Stage::Queued { .. } if !view.is_available => {
+            Step::Refuse(NotRun::LogUnavailable)
+        }
+        Stage::Waiting => judge_turn(view, call),
+        Stage::Queued { at } if now > at + config.queue_limit => Step::Refuse(NotRun::LogSlow),
+        Stage::Sent { at } if now > at + config.dispatch_bound => Step::Refuse(NotRun::LogSlow),
+        Stage::Refusing { at, .. } if now > at + config.refusal_limit => {
+            in_doubt(InDoubt::LogUnavailable)
+        }
+        _ => Step::Keep,
+    }
+}
+
+/// Before the claim: whether the predecessor in the sequence is answered.
+fn judge_turn(view: &View<'_>, call: &Call) -> Step {
+    let Some(place) = call.place else { return Step::Claim };
+    match view.table.turn(place, call.nonce) {
+        Turn::Now => Step::Claim,
+        Turn::Passed => Step::Refuse(NotRun::PositionPassed),
+        Turn::Taken => Step::Refuse(NotRun::PositionTaken),
+        Turn::Later if view.now > call.begun + view.config.sequence_limit => {
+            Step::Refuse(NotRun::PredecessorUnanswered)
+        }
+        Turn::Later => Step::Keep,
+    }
+}
+
+/// The last claim or refusal of the key is this call's.
+fn judge_own(view: &View<'_>, call: &Call, entry: &Entry) -> Step {
+    match (&entry.state, call.stage) {
+        (State::Open, _) if call.told => Step::EndNotRun(NotRun::LogSlow),
+        (State::Open, Stage::Sent { at }) => judge_dispatch(view, call, entry.fence, at),
+        (State::Open, Stage::Refusing { reason, .. }) => Step::EndNotRun(reason),
+        (State::Open, _) => Step::EndNotRun(NotRun::LogSlow),
+        (_, _) if call.told => Step::Drop,
+        (State::NotRun { .. }, Stage::Refusing { reason, .. }) => {
+            Step::Tell(view.config.not_run(reason))
+        }
+        (state, stage) => panic!("a claim that was not dispatched is {state:?} in {stage:?}"),
+    }
+}
+
+/// The claim was read back: dispatch, if that is still in time and the call's turn.
+fn judge_dispatch(view: &View<'_>, call: &Call, fence: Offset, sent_at: Duration) -> Step {
+    if view.now > sent_at + view.config.dispatch_bound {
+        return Step::EndNotRun(NotRun::LogSlow);
+    }
+    if call.new.repeated && !view.covers_key_life {
+        return Step::EndInDoubt(InDoubt::LogTooShort);
+    }
+    let turn = call.place.map_or(Turn::Now, |place| view.table.turn(place, call.nonce));
+    match turn {
+        Turn::Now => Step::Dispatch { fence, sent_at },
+        Turn::Later => Step::EndNotRun(NotRun::PredecessorUnanswered),
+        Turn::Passed => Step::EndNotRun(NotRun::PositionPassed),
+        Turn::Taken => Step::EndNotRun(NotRun::PositionTaken),
+    }
+}
+
+/// The last claim or refusal of the key is another call's.
+fn judge_other(view: &View<'_>, call: &Call, entry: &Entry) -> Step {
+    if entry.state == State::Expired {
+        return Step::Tell(Conclusion::KeyExpired);
+    }
+    if entry.request != call.request {
+        return Step::Tell(Conclusion::Mismatch);
+    }
+    match &entry.state {
+        State::Answered(answer) => {
+            Step::Tell(Conclusion::Answered { answer: answer.clone(), repeated: true })
+        }
+        State::InDoubt => in_doubt(InDoubt::Recorded),
+        State::Open => {
+            let is_silent = view.now > entry.read_at + view.config.silence_limit();
+            let is_over = view.now > call.begun + view.config.wait_limit;
+            if is_silent || is_over { in_doubt(InDoubt::HolderSilent) } else { Step::Keep }
+        }
+        State::NotRun { at } => judge_released(view, call, *at),
+        State::Expired => Step::Keep,
+    }
+}
+
+/// The key is free for calls that arrived after `at` was read.
+///
+/// Where `at` came after an entry of this call, it voids every claim of an
+/// earlier call and so tells that none of them runs.
+fn judge_released(view: &View<'_>, call: &Call, at: Offset) -> Step {
+    if call.read_back.is_some_and(|offset| offset <= at) {
+        let reason = match call.stage {
+            Stage::Refusing { reason, .. } => reason,
+            _ => NotRun::Withdrawn,
+        };
+        return Step::Tell(view.config.not_run(reason));
+    }
+    match call.stage {
+        Stage::Waiting | Stage::Queued { .. } if call.base < at => Step::Refuse(NotRun::Withdrawn),
+        Stage::Sent { .. } if call.read_back.is_some() => Step::Refuse(NotRun::Withdrawn),
+        _ => judge_unheld(view, call),
+    }
+}
+
+fn in_doubt(reason: InDoubt) -> Step {
+    Step::Tell(Conclusion::InDoubt { reason })
+}
--- /dev/null
+++ b/rhubarbrock/src/claim_record.rs
@@ -0,0 +1,97 @@
+//! Records of topic "claims".
+
+use std::time::Duration;
+
+use prost::Message;
+use rhubarbrock_schema::log::{self, ClaimEntry, ClaimOutcome, claim_entry};
+
+use crate::claim_call::Call;
+use crate::claim_table::Answer;
+use crate::id::NodeId;
+
+/// Collects entries for one record.
+pub(crate) struct Builder {
+    batch: log::ClaimBatch,
+    bytes: usize,
+    max_bytes: usize,
+}
+
+impl Builder {
+    pub(crate) fn new(max_bytes: usize) -> Builder {
+        Builder { batch: log::ClaimBatch::default(), bytes: 0, max_bytes }
+    }
+
+    pub(crate) fn has_room(&self) -> bool {
+        self.bytes < self.max_bytes
+    }
+
+    pub(crate) fn push(&mut self, entry: ClaimEntry) {
+        self.bytes += entry.encoded_len();
+        self.batch.entries.push(entry);
+    }
+
+    pub(crate) fn record(&self) -> Vec<u8> {
+        self.batch.encode_to_vec()
+    }
+}
+
+pub(crate) fn claim(call: &Call, holder: NodeId, wall: Duration) -> ClaimEntry {
+    let place = call.new.place.as_ref();
+    let claim = log::Claim {
+        organisation: call.new.organisation.clone(),
+        key: call.key_text.clone(),
+        request_sha256: call.new.request_sha256.to_vec(),
+        nonce: call.nonce,
+        holder,
+        claimed_at_ms: wall.as_millis() as u64,
+        service: call.new.service.clone(),
+        sequence: place.map(|place| place.sequence.clone()).unwrap_or_default(),
+        position: place.map_or(0, |place| place.position),
+        base: call.base,
+    };
+    ClaimEntry { body: Some(claim_entry::Body::Claim(claim)) }
+}
+
+pub(crate) fn refusal(call: &Call) -> ClaimEntry {
+    let refusal = log::Refusal {
+        organisation: call.new.organisation.clone(),
+        key: call.key_text.clone(),
+        request_sha256: call.new.request_sha256.to_vec(),
+        nonce: call.nonce,
+    };
+    ClaimEntry { body: Some(claim_entry::Body::Refusal(refusal)) }
+}
+
+pub(crate) fn not_run(call: &Call) -> ClaimEntry {
+    end(call, ClaimOutcome::NotRun, None)
+}
+
+pub(crate) fn in_doubt(call: &Call) -> ClaimEntry {
+    end(call, ClaimOutcome::InDoubt, None)
+}
+
+pub(crate) fn answered(call: &Call, answer: &Answer, max_answer_bytes: usize) -> ClaimEntry {
+    let mut kept = answer.clone();
+    if kept.body.len() > max_answer_bytes {
+        kept.body = Vec::new();
+        kept.body_omitted = true;
+    }
+    end(call, ClaimOutcome::Answered, Some(kept))
+}
+
+fn end(call: &Call, outcome: ClaimOutcome, answer: Option<Answer>) -> ClaimEntry {
+    let mut end = log::ClaimEnd {
+        organisation: call.new.organisation.clone(),
+        key: call.key_text.clone(),
+        nonce: call.nonce,
+        outcome: outcome as i32,
+        ..Default::default()
+    };
+    if let Some(answer) = answer {
+        end.status = u32::from(answer.status);
+        end.content_type = answer.content_type;
+        end.body = answer.body;
+        end.body_omitted = answer.body_omitted;
+    }
+    ClaimEntry { body: Some(claim_entry::Body::End(end)) }
+}
--- a/rhubarbrock/src/id.rs
+++ b/rhubarbrock/src/id.rs
@@ -16,6 +16,9 @@
 /// Number of one attempt to serve a request, unique within a node.
 pub type AttemptId = u64;
 
+/// Number of one call to a plain service, unique within a node.
+pub type CallId = u64;
+
 /// Offset of a record in a topic of the platform's log, from 1.
 pub type Offset = u64;
 
--- a/rhubarbrock/src/lib.rs
+++ b/rhubarbrock/src/lib.rs
@@ -15,6 +15,12 @@
 //! ```
 
 pub mod broadcast;
+pub mod claim;
+pub mod claim_batch;
+pub(crate) mod claim_call;
+pub(crate) mod claim_config;
+pub(crate) mod claim_record;
+pub(crate) mod claim_table;
 pub mod clock;
 mod contacts;
 pub mod defaults;
