Add endpoint choice, fairness, admission and their dispatcher

Cause: the daemon needs to know, without I/O, whether a request is admitted, whose is next and where it goes.

Change: `prompt` (text, block hashes, tokens, dialogue key), `endpoint`, `view` (list, notices and reports that contradict each other), `health` (ejection with half-open probes), `limit` (learnt concurrency), `cache` (knowledge from own requests and events), `routing` and `choice`, `fairness` (virtual token counter), `admission` (deadline) and `dispatch`, which puts them together.

Leaving is kept for good when list or notice said it, as instance ids are not used twice; an endpoint's own word can be taken back only by its own younger report. The queue is shared by dynamic thresholds (an organisation may hold as many as are left free) so that no accepted request has to be pushed out.

The fairness test's first expectation of the debt's length was wrong by one: at equal counters the earlier arrival goes first.

Not measured yet.

--- /dev/null
+++ b/rhubarbrock/src/choice.rs
@@ -0,0 +1,313 @@
+//! The choice of one endpoint out of those that a router knows.
+
+use std::time::Duration;
+
+use crate::{endpoint, health, id, prompt, rendezvous, routing, view};
+
+/// Tokens of a cache block, where tokens are as short as engines count them.
+const BLOCK_TOKENS: u32 = (prompt::BLOCK_BYTES / prompt::TOKEN_BYTES) as u32;
+
+/// Retry time where nothing tells a better one.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// An endpoint that may be chosen.
+#[derive(Debug, Clone, Copy)]
+struct Candidate {
+    endpoint: id::EndpointId,
+    load: endpoint::Load,
+    limit: f64,
+    matched_tokens: u32,
+    is_home: bool,
+    price: f64,
+    delay_us: f64,
+}
+
+/// What keeps endpoints from being candidates.
+#[derive(Debug, Default)]
+struct Tally {
+    live: usize,
+    excluded: usize,
+    /// Soonest time at which an ejected or busy one may be tried.
+    next_try: Option<Duration>,
+    probe: Option<Candidate>,
+    unreachable: Vec<Candidate>,
+    sound: Vec<Candidate>,
+}
+
+/// Prompt tokens that an endpoint is known to hold.
+pub(crate) fn matched_tokens(matches: &[(id::EndpointId, usize)], endpoint: id::EndpointId) -> u32 {
+    let found = matches.iter().find(|(holder, _)| *holder == endpoint);
+    found.map_or(0, |(_, blocks)| *blocks as u32 * BLOCK_TOKENS)
+}
+
+/// Chooses an endpoint for a request.
+pub(crate) fn choose(
+    router: &routing::Router,
+    now: Duration,
+    ask: &routing::Ask<'_>,
+) -> Result<routing::Choice, routing::NoEndpoint> {
+    let Some(members) = router.view.services.get(ask.service) else {
+        return Err(lack(routing::Lack::NoneLive, RETRY_AFTER));
+    };
+    let matches = router.knowledge.matches(ask.blocks);
+    let homes = homes(router, now, ask, members);
+    let tally = gather(router, now, ask, members, &matches, &homes);
+    if let Some(probe) = tally.probe.filter(|_| ask.may_probe && ask.exclude.is_empty()) {
+        let pick = Pick { rule: routing::Rule::Probe, bound: probe.limit, cost_us: 0.0 };
+        return Ok(chosen(ask, &probe, pick, tally.sound.len() + 1));
+    }
+    if !tally.sound.is_empty() {
+        return pick(router, ask, &tally.sound, false);
+    }
+    if !tally.unreachable.is_empty() {
+        return pick(router, ask, &tally.unreachable, true);
+    }
+    if let Some(probe) = tally.probe {
+        let pick = Pick { rule: routing::Rule::Probe, bound: probe.limit, cost_us: 0.0 };
+        return Ok(chosen(ask, &probe, pick, 1));
+    }
+    let retry_after = tally.next_try.map_or(RETRY_AFTER, |at| at.saturating_sub(now));
+    let why = match () {
+        () if tally.live == 0 => routing::Lack::NoneLive,
+        () if tally.live == tally.excluded => routing::Lack::AllExcluded,
+        () => routing::Lack::AllEjected,
+    };
+    Err(lack(why, retry_after))
+}
+
+fn lack(why: routing::Lack, retry_after: Duration) -> routing::NoEndpoint {
+    routing::NoEndpoint { why, retry_after }
+}
+
+/// The endpoints that rank highest for the request's dialogue; the first is its home.
+fn homes(
+    router: &routing::Router,
+    now: Duration,
+    ask: &routing::Ask<'_>,
+    members: &view::Members,
+) -> Vec<id::EndpointId> {
+    if ask.dialogue == 0 || !router.settings.follows_home {
+        return Vec::new();
+    }
+    let mut ranked: Vec<(u64, id::EndpointId)> = Vec::new();
+    for id in &members.all {
+        let weight = rendezvous::score(ask.dialogue, *id);
+        let last = ranked.last().map_or(0, |(weight, _)| *weight);
+        if ranked.len() >= router.settings.homes && weight <= last {
+            continue;
+        }
+        let known = &router.view.endpoints[id];
+        if known.health.standing(now) != health::Standing::Sound {
+            continue;
+        }
+        ranked.push((weight, *id));
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        ranked.truncate(router.settings.homes);
+    }
+    ranked.into_iter().map(|(_, endpoint)| endpoint).collect()
+}
+
+/// Sorts the endpoints that this node follows, and the homes, by whether they may be chosen.
+fn gather(
+    router: &routing::Router,
+    now: Duration,
+    ask: &routing::Ask<'_>,
+    members: &view::Members,
+    matches: &[(id::EndpointId, usize)],
+    homes: &[id::EndpointId],
+) -> Tally {
+    let mut tally = Tally::default();
+    let strangers = homes.iter().filter(|home| members.subset.binary_search(home).is_err());
+    for id in members.subset.iter().chain(strangers) {
+        let known = &router.view.endpoints[id];
+        tally.live += 1;
+        if ask.exclude.contains(id) {
+            tally.excluded += 1;
+            continue;
+        }
+        if now < known.busy_until {
+            sooner(&mut tally.next_try, known.busy_until);
+            continue;
+        }
+        let candidate = Candidate {
+            endpoint: *id,
+            load: known.load(now, router.nodes, router.settings.load_trusted),
+            limit: known.limit.requests(),
+            matched_tokens: matched_tokens(matches, *id),
+            is_home: homes.first() == Some(id),
+            price: known.listing.price_per_hour,
+            delay_us: delay_us(router, now, known),
+        };
+        match known.health.standing(now) {
+            health::Standing::Sound if now < known.unreachable_until => {
+                tally.unreachable.push(candidate);
+            }
+            health::Standing::Sound => tally.sound.push(candidate),
+            health::Standing::HalfOpen => {
+                tally.probe.get_or_insert(candidate);
+            }
+            health::Standing::Ejected { until } => sooner(&mut tally.next_try, until),
+        }
+    }
+    tally
+}
+
+fn sooner(next: &mut Option<Duration>, at: Duration) {
+    *next = Some(next.map_or(at, |next| next.min(at)));
+}
+
+/// Delay and doubt of an endpoint whatever its load.
+fn delay_us(router: &routing::Router, now: Duration, known: &endpoint::Endpoint) -> f64 {
+    let data_centre = &known.listing.data_centre;
+    let told = router.distances.get(data_centre).copied();
+    let is_near = *data_centre == router.data_centre;
+    let far = if is_near { Duration::ZERO } else { router.settings.far_cost };
+    let distance = told.unwrap_or(far);
+    let is_list_stale =
+        router.view.list_age(now).is_none_or(|age| age > router.settings.list_trusted);
+    let is_heard = known
+        .heard_at
+        .is_some_and(|heard_at| now.saturating_sub(heard_at) <= router.settings.list_trusted);
+    let is_doubtful = is_list_stale && !is_heard;
+    let doubt = if is_doubtful { router.settings.doubt_cost } else { Duration::ZERO };
+    (distance + doubt).as_micros() as f64
+}
+
+/// Result of comparing candidates.
+#[derive(Debug, Clone, Copy)]
+struct Pick {
+    rule: routing::Rule,
+    bound: f64,
+    cost_us: f64,
+}
+
+fn pick(
+    router: &routing::Router,
+    ask: &routing::Ask<'_>,
+    candidates: &[Candidate],
+    is_last_resort: bool,
+) -> Result<routing::Choice, routing::NoEndpoint> {
+    let bound = bound(&router.settings, candidates);
+    let costing = Costing::new(router, ask, candidates);
+    let open = candidates.iter().filter(|c| c.load.requests < c.limit);
+    let cheapest = open
+        .filter(|candidate| candidate.load.requests < bound)
+        .map(|candidate| (costing.cost_us(candidate), candidate))
+        .min_by(|(a, x), (b, y)| a.total_cmp(b).then(x.endpoint.cmp(&y.endpoint)));
+    let Some((cost_us, candidate)) = cheapest else {
+        return Err(lack(routing::Lack::AllFull, retry_when_full(router, ask, candidates)));
+    };
+    let rule = match () {
+        () if is_last_resort => routing::Rule::LastResort,
+        () => costing.rule(candidate, candidates),
+    };
+    Ok(chosen(ask, candidate, Pick { rule, bound, cost_us }, candidates.len()))
+}
+
+/// Load that an endpoint may carry at most to be chosen.
+fn bound(settings: &routing::Settings, candidates: &[Candidate]) -> f64 {
+    let open = candidates.iter().filter(|c| c.load.requests < c.limit);
+    let (mut requests, mut endpoints) = (0.0, 0.0);
+    for candidate in open {
+        requests += candidate.load.requests;
+        endpoints += 1.0;
+    }
+    let mean = requests / f64::max(endpoints, 1.0);
+    mean * settings.load_bound + settings.load_slack.max(1.0)
+}
+
+/// Time until an endpoint is likely to end a request.
+fn retry_when_full(
+    router: &routing::Router,
+    ask: &routing::Ask<'_>,
+    candidates: &[Candidate],
+) -> Duration {
+    let running: f64 = candidates.iter().map(|candidate| candidate.load.requests).sum();
+    let service_us = router.rates(ask.service).service_us;
+    Duration::from_micros((service_us / running.max(1.0)) as u64)
+}
+
+fn chosen(
+    ask: &routing::Ask<'_>,
+    candidate: &Candidate,
+    pick: Pick,
+    candidates: usize,
+) -> routing::Choice {
+    let why = routing::Reason {
+        rule: pick.rule,
+        matched_tokens: candidate.matched_tokens.min(ask.prompt_tokens),
+        prompt_tokens: ask.prompt_tokens,
+        load: candidate.load.requests,
+        bound: pick.bound,
+        limit: candidate.limit,
+        cost_us: pick.cost_us.max(0.0) as u64,
+        candidates,
+        is_stale: !candidate.load.is_fresh,
+    };
+    routing::Choice { endpoint: candidate.endpoint, why }
+}
+
+/// How candidates are compared: expected wait for the first token, and penalties.
+struct Costing {
+    prompt_tokens: f64,
+    /// Tokens expected at the home besides those known; 0 where a cache is known to hold them.
+    home_tokens: f64,
+    prefill_us_per_token: f64,
+    slot_us: f64,
+    request_us: f64,
+    price_us: f64,
+    lowest_price: f64,
+}
+
+impl Costing {
+    fn new(router: &routing::Router, ask: &routing::Ask<'_>, candidates: &[Candidate]) -> Costing {
+        let rates = router.rates(ask.service);
+        let settled = f64::from(ask.settled_tokens);
+        let known = candidates.iter().map(|c| c.matched_tokens).max().unwrap_or(0);
+        let is_known = f64::from(known) >= settled * router.settings.home_trust;
+        let is_first_turn = ask.settled_tokens == 0;
+        let expected = if is_first_turn { f64::from(ask.prompt_tokens) } else { settled };
+        let is_used = is_first_turn || !is_known;
+        let home_tokens = if is_used { expected * router.settings.home_trust } else { 0.0 };
+        let prices = candidates.iter().map(|c| c.price).filter(|price| *price > 0.0);
+        Costing {
+            prompt_tokens: f64::from(ask.prompt_tokens),
+            home_tokens,
+            prefill_us_per_token: rates.prefill_us_per_token,
+            slot_us: rates.service_us,
+            request_us: router.settings.request_cost.as_micros() as f64,
+            price_us: router.price_cost.as_micros() as f64,
+            lowest_price: prices.min_by(f64::total_cmp).unwrap_or(0.0),
+        }
+    }
+
+    fn cost_us(&self, candidate: &Candidate) -> f64 {
+        let known = f64::from(candidate.matched_tokens).min(self.prompt_tokens);
+        let cached = if candidate.is_home { known.max(self.home_tokens) } else { known };
+        let prefill = candidate.load.prefill_tokens + self.prompt_tokens - cached;
+        let running = (candidate.load.requests - candidate.load.waiting).max(1.0);
+        prefill * self.prefill_us_per_token
+            + candidate.load.requests * self.request_us
+            + candidate.load.waiting * self.slot_us / running
+            + candidate.delay_us
+            + self.price_penalty_us(candidate)
+    }
+
+    fn price_penalty_us(&self, candidate: &Candidate) -> f64 {
+        if candidate.price <= 0.0 || self.lowest_price <= 0.0 {
+            return 0.0;
+        }
+        (candidate.price / self.lowest_price - 1.0) * self.price_us
+    }
+
+    fn rule(&self, chosen: &Candidate, candidates: &[Candidate]) -> routing::Rule {
+        let longest = candidates.iter().map(|c| c.matched_tokens).max().unwrap_or(0);
+        let has_home = candidates.iter().any(|c| c.is_home);
+        match () {
+            () if longest > 0 && chosen.matched_tokens == longest => routing::Rule::Prefix,
+            () if chosen.is_home => routing::Rule::Home,
+            () if longest > 0 || has_home => routing::Rule::Spill,
+            () => routing::Rule::Cheapest,
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbrock/src/dispatch.rs
@@ -0,0 +1,366 @@
+//! Admission, fairness and endpoint choice put together.
+//!
+//! A request is submitted and either refused at once or queued. [`Dispatcher::poll`]
+//! then says once for each queued request that it is to be sent, or that it is
+//! refused because its deadline can no longer be met. A request that was sent and
+//! failed may be retried; it then goes before those that wait.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use rhubarbrock_schema::release;
+
+use crate::{admission, choice, fairness, id, routing};
+
+/// A request to be served.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Job {
+    /// Number by which the caller knows it; unique among those that are not ended.
+    pub ticket: fairness::Ticket,
+    /// Service called.
+    pub service: String,
+    /// Organisation that asks.
+    pub organisation: String,
+    /// Hashes of the prompt's whole blocks; empty for plain services.
+    pub blocks: Vec<id::BlockHash>,
+    /// Size of the prompt.
+    pub prompt_tokens: u32,
+    /// [`Prompt::dialogue`](crate::prompt::Prompt::dialogue); 0 for none.
+    pub dialogue: u64,
+    /// [`Prompt::settled_tokens`](crate::prompt::Prompt::settled_tokens).
+    pub settled_tokens: u32,
+    /// Largest size of the answer, where the caller set one.
+    pub max_tokens: Option<u32>,
+    /// Time allowed from arrival to first token; none takes the service's.
+    pub deadline: Option<Duration>,
+    /// Whether it may be sent to an endpoint that has just failed.
+    pub may_probe: bool,
+}
+
+/// What to do with a request now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Step {
+    /// Send it.
+    Send {
+        /// The request.
+        ticket: fairness::Ticket,
+        /// Number of this attempt.
+        attempt: id::AttemptId,
+        /// Where to, and why.
+        choice: routing::Choice,
+        /// Time that it waited for its turn.
+        waited: Duration,
+    },
+    /// Tell its caller that it was not run.
+    Refuse {
+        /// The request.
+        ticket: fairness::Ticket,
+        /// Why.
+        refusal: admission::Refusal,
+    },
+}
+
+/// Settings of a [`Dispatcher`].
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Settings {
+    /// Endpoint choice.
+    pub routing: routing::Settings,
+    /// Fairness.
+    pub fairness: fairness::Settings,
+}
+
+#[derive(Debug, Clone)]
+struct Entry {
+    job: Job,
+    arrived_at: Duration,
+    deadline: Option<Duration>,
+    expected_wait: Duration,
+    exclude: Vec<id::EndpointId>,
+    attempt: Option<id::AttemptId>,
+}
+
+/// Takes requests and says when and where each is sent.
+#[derive(Debug, Clone)]
+pub struct Dispatcher {
+    /// Endpoint choice; feed it lists, notices, loads and cache events.
+    pub router: routing::Router,
+    /// Waiting requests; feed it usage of other nodes.
+    pub fairness: fairness::Fairness,
+    /// Admission.
+    pub admission: admission::Admission,
+    entries: BTreeMap<fairness::Ticket, Entry>,
+    /// Queued requests in order of their deadlines.
+    deadlines: BTreeSet<(Duration, fairness::Ticket)>,
+    attempts: BTreeMap<id::AttemptId, fairness::Ticket>,
+    retries: BTreeMap<String, VecDeque<fairness::Ticket>>,
+    organisation_max_requests: BTreeMap<String, u32>,
+    last_attempt: id::AttemptId,
+}
+
+impl Dispatcher {
+    /// A dispatcher of a node that knows nothing yet.
+    pub fn new(node: id::NodeId, data_centre: &str, settings: Settings) -> Dispatcher {
+        Dispatcher {
+            router: routing::Router::new(node, data_centre, settings.routing),
+            fairness: fairness::Fairness::new(settings.fairness),
+            admission: admission::Admission::new(),
+            entries: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            attempts: BTreeMap::new(),
+            retries: BTreeMap::new(),
+            organisation_max_requests: BTreeMap::new(),
+            last_attempt: 0,
+        }
+    }
+
+    /// A release came into force.
+    pub fn on_release(&mut self, release: &release::Release) {
+        self.admission.on_release(release);
+        self.router.on_release(release);
+        let organisations = release.organisations.iter();
+        self.organisation_max_requests =
+            organisations.map(|o| (o.name.clone(), o.max_requests_per_node)).collect();
+    }
+
+    /// A request arrived; it is refused at once or will be named by [`Dispatcher::poll`].
+    pub fn submit(&mut self, now: Duration, job: Job) -> Result<(), admission::Refusal> {
+        let service = job.service.as_str();
+        let limits = self.admission.limits(service);
+        let allowed = job.deadline.or(limits.and_then(|limits| limits.deadline));
+        let deadline = allowed.map(|allowed| now + allowed);
+        let capacity = self.router.capacity(now, service);
+        let rates = self.router.rates(service);
+        let ahead = self.fairness.ahead_of(service, &job.organisation);
+        let waiting = self.fairness.waiting_of(service, &job.organisation);
+        let running = self.fairness.running_of(service, &job.organisation);
+        let max_requests = self.organisation_max_requests.get(&job.organisation);
+        let offer = admission::Offer {
+            deadline,
+            uncached_tokens: self.uncached_tokens(&job),
+            ahead,
+            waiting: self.fairness.waiting(service),
+            organisation_waiting: waiting,
+            organisation_requests: waiting + running,
+            organisation_max_requests: max_requests.copied().unwrap_or(0),
+        };
+        let nodes = self.router.nodes;
+        self.admission.offer(now, service, &offer, &capacity, &rates, nodes)?;
+        let expected_wait = self.admission.expected_wait(service, ahead, &capacity, &rates, nodes);
+        let expected_answer = rates.answer_tokens as u32;
+        let waiting = fairness::Waiting {
+            ticket: job.ticket,
+            prompt_tokens: job.prompt_tokens,
+            answer_tokens: job.max_tokens.map_or(expected_answer, |max| max.min(expected_answer)),
+        };
+        self.fairness.push(service, &job.organisation, waiting);
+        let entry = Entry {
+            arrived_at: now,
+            deadline,
+            expected_wait,
+            exclude: Vec::new(),
+            attempt: None,
+            job,
+        };
+        if let Some(deadline) = deadline {
+            self.deadlines.insert((deadline, entry.job.ticket));
+        }
+        let before = self.entries.insert(entry.job.ticket, entry);
+        assert!(before.is_none(), "a ticket is submitted once");
+        Ok(())
+    }
+
+    fn uncached_tokens(&self, job: &Job) -> u32 {
+        let matches = self.router.knowledge.matches(&job.blocks);
+        let longest = matches.iter().map(|(id, _)| choice::matched_tokens(&matches, *id)).max();
+        job.prompt_tokens.saturating_sub(longest.unwrap_or(0))
+    }
+
+    /// What to do now; call it after each event and at least each 100 ms.
+    pub fn poll(&mut self, now: Duration) -> Vec<Step> {
+        let mut steps = Vec::new();
+        self.refuse_late(now, &mut steps);
+        let services: Vec<String> = self.router.services().map(str::to_owned).collect();
+        for service in services {
+            self.poll_retries(now, &service, &mut steps);
+            while let Some(step) = self.next_step(now, &service) {
+                steps.push(step);
+            }
+        }
+        steps
+    }
+
+    /// Refuses queued requests whose deadline has passed.
+    fn refuse_late(&mut self, now: Duration, steps: &mut Vec<Step>) {
+        if self.admission.accepts_all() {
+            return;
+        }
+        while let Some((deadline, ticket)) = self.deadlines.first().copied() {
+            if now <= deadline {
+                return;
+            }
+            let refusal = admission::Refusal::late(now.saturating_sub(deadline));
+            steps.push(self.refuse(ticket, refusal));
+        }
+    }
+
+    fn refuse(&mut self, ticket: fairness::Ticket, refusal: admission::Refusal) -> Step {
+        let entry = self.entries.remove(&ticket).expect("a queued request is known");
+        self.forget_deadline(&entry);
+        let was_queued = self.fairness.remove(&entry.job.service, &entry.job.organisation, ticket);
+        assert!(was_queued, "request {ticket} is refused only while it is queued");
+        Step::Refuse { ticket, refusal }
+    }
+
+    fn forget_deadline(&mut self, entry: &Entry) {
+        if let Some(deadline) = entry.deadline {
+            self.deadlines.remove(&(deadline, entry.job.ticket));
+        }
+    }
+
+    fn poll_retries(&mut self, now: Duration, service: &str, steps: &mut Vec<Step>) {
+        let waiting = self.retries.get(service).map_or(0, VecDeque::len);
+        for _ in 0..waiting {
+            let retries = self.retries.get_mut(service).expect("the queue was counted");
+            let Some(ticket) = retries.pop_front() else {
+                return;
+            };
+            let choice = self.choose(now, ticket);
+            match choice {
+                Ok(choice) => steps.push(self.send(now, ticket, choice)),
+                Err(_) => self.retries.entry(service.to_owned()).or_default().push_back(ticket),
+            }
+        }
+    }
+
+    fn next_step(&mut self, now: Duration, service: &str) -> Option<Step> {
+        let ticket = self.fairness.front(service)?.ticket;
+        let entry = &self.entries[&ticket];
+        let rates = self.router.rates(service);
+        let uncached_tokens = self.uncached_tokens(&entry.job);
+        let rechecked = self.admission.recheck(now, entry.deadline, uncached_tokens, &rates);
+        if let Err(refusal) = rechecked {
+            return Some(self.refuse(ticket, refusal));
+        }
+        let choice = self.choose(now, ticket).ok()?;
+        self.fairness.pop(service);
+        let entry = self.entries[&ticket].clone();
+        self.forget_deadline(&entry);
+        let waited = now.saturating_sub(entry.arrived_at);
+        self.admission.on_turn(service, entry.expected_wait, waited);
+        Some(self.send(now, ticket, choice))
+    }
+
+    fn choose(
+        &self,
+        now: Duration,
+        ticket: fairness::Ticket,
+    ) -> Result<routing::Choice, routing::NoEndpoint> {
+        self.router.choose(now, &ask(&self.entries[&ticket]))
+    }
+
+    fn send(&mut self, now: Duration, ticket: fairness::Ticket, choice: routing::Choice) -> Step {
+        self.last_attempt += 1;
+        let attempt = self.last_attempt;
+        let entry = self.entries.get_mut(&ticket).expect("a waiting request is known");
+        assert!(entry.attempt.is_none(), "request {ticket} has one attempt at a time");
+        entry.attempt = Some(attempt);
+        let waited = now.saturating_sub(entry.arrived_at);
+        self.attempts.insert(attempt, ticket);
+        self.router.on_sent(now, attempt, choice.endpoint, &ask(&self.entries[&ticket]));
+        Step::Send { ticket, attempt, choice, waited }
+    }
+
+    /// The first token of an attempt's answer came.
+    pub fn on_first_token(&mut self, now: Duration, attempt: id::AttemptId) {
+        self.router.on_first_token(now, attempt);
+    }
+
+    /// An attempt's answer has come as far as `tokens`.
+    pub fn on_progress(&mut self, now: Duration, attempt: id::AttemptId, tokens: u32) {
+        self.router.on_progress(now, attempt, tokens);
+        if let Some(ticket) = self.attempts.get(&attempt) {
+            self.fairness.charge(*ticket, tokens);
+        }
+    }
+
+    /// An attempt ended with a whole answer, and with it its request.
+    pub fn on_done(
+        &mut self,
+        now: Duration,
+        attempt: id::AttemptId,
+        answered: &routing::Answered,
+    ) -> Option<routing::Change> {
+        let change = self.router.on_done(now, attempt, answered);
+        if let Some(ticket) = self.attempts.remove(&attempt) {
+            self.fairness.charge(ticket, answered.answer_tokens);
+            self.fairness.end(ticket);
+            self.entries.remove(&ticket);
+        }
+        change
+    }
+
+    /// An attempt failed; its request waits for [`Dispatcher::retry`] or [`Dispatcher::give_up`].
+    pub fn on_failure(
+        &mut self,
+        now: Duration,
+        attempt: id::AttemptId,
+        failure: routing::Failure,
+    ) -> Option<routing::Change> {
+        if let Some(ticket) = self.attempts.remove(&attempt)
+            && let Some(entry) = self.entries.get_mut(&ticket)
+        {
+            entry.attempt = None;
+        }
+        self.router.on_failure(now, attempt, failure)
+    }
+
+    /// A request whose attempt failed is sent again, not to the excluded endpoints.
+    pub fn retry(&mut self, ticket: fairness::Ticket, exclude: &[id::EndpointId]) {
+        let Some(entry) = self.entries.get_mut(&ticket) else {
+            return;
+        };
+        assert!(entry.attempt.is_none(), "request {ticket} is retried after its attempt ended");
+        entry.exclude = exclude.to_vec();
+        let service = entry.job.service.clone();
+        self.retries.entry(service).or_default().push_back(ticket);
+    }
+
+    /// A request is over without an answer; returns the attempt in flight, to be cancelled.
+    pub fn give_up(&mut self, now: Duration, ticket: fairness::Ticket) -> Option<id::AttemptId> {
+        let entry = self.entries.remove(&ticket)?;
+        self.forget_deadline(&entry);
+        let (service, organisation) = (&entry.job.service, &entry.job.organisation);
+        if let Some(retries) = self.retries.get_mut(service) {
+            retries.retain(|waiting| *waiting != ticket);
+        }
+        if !self.fairness.remove(service, organisation, ticket) {
+            self.fairness.end(ticket);
+        }
+        let attempt = entry.attempt?;
+        self.attempts.remove(&attempt);
+        self.router.on_cancelled(now, attempt);
+        Some(attempt)
+    }
+
+    /// Requests submitted and not ended.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no request is submitted and not ended.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+fn ask(entry: &Entry) -> routing::Ask<'_> {
+    routing::Ask {
+        service: &entry.job.service,
+        blocks: &entry.job.blocks,
+        prompt_tokens: entry.job.prompt_tokens,
+        dialogue: entry.job.dialogue,
+        settled_tokens: entry.job.settled_tokens,
+        may_probe: entry.job.may_probe,
+        exclude: &entry.exclude,
+    }
+}
--- a/rhubarbrock/src/lib.rs
+++ b/rhubarbrock/src/lib.rs
@@ -14,21 +14,33 @@
 //! assert_eq!(request.to_string(), text);
 //! ```
 
+pub mod admission;
 pub mod broadcast;
+pub mod cache;
+mod choice;
 pub mod clock;
 mod contacts;
 pub mod defaults;
 pub mod digest;
+pub mod dispatch;
+pub mod endpoint;
+pub mod fairness;
+pub mod health;
 pub mod id;
+pub mod limit;
 pub mod member_table;
 pub mod membership;
 pub mod note;
 mod note_fields;
 mod probe;
+pub mod prompt;
 pub mod publisher;
+pub mod rates;
 pub mod release;
 pub mod rendezvous;
+pub mod routing;
 pub mod snapshot;
 pub mod suspicion;
 pub mod validation;
+mod view;
 pub mod watch;
--- /dev/null
+++ b/rhubarbrock/tests/fairness.rs
@@ -0,0 +1,175 @@
+//! Random queues against what must hold of fairness.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use rhubarbrock::fairness;
+
+const SERVICE: &str = "rhubarb-judges";
+
+/// Seed of a run: `SEED=n` runs only that one.
+fn seeds(count: u64) -> Vec<u64> {
+    match std::env::var("SEED").ok().and_then(|seed| seed.parse().ok()) {
+        Some(seed) => vec![seed],
+        None => (0..count).collect(),
+    }
+}
+
+fn waiting(ticket: u64, prompt_tokens: u32, answer_tokens: u32) -> fairness::Waiting {
+    fairness::Waiting { ticket, prompt_tokens, answer_tokens }
+}
+
+/// Weighted tokens of a request by the default weights.
+fn weight(request: &fairness::Waiting) -> f64 {
+    f64::from(request.prompt_tokens) + 2.0 * f64::from(request.answer_tokens)
+}
+
+#[test]
+fn backlogged_organisations_get_equal_tokens() {
+    for seed in seeds(50) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut queue = fairness::Fairness::new(fairness::Settings::default());
+        let names = ["a", "b", "c", "d"];
+        let mut owners = BTreeMap::new();
+        let mut heaviest: f64 = 0.0;
+        for ticket in 0..4000 {
+            let owner = (ticket % 4) as usize;
+            // Each organisation has sizes of its own: a's requests are ten times d's.
+            let scale = [10, 5, 2, 1][owner];
+            let request = waiting(ticket, rng.random_range(1..50) * scale, 20 * scale);
+            heaviest = heaviest.max(weight(&request));
+            owners.insert(ticket, owner);
+            queue.push(SERVICE, names[owner], request);
+        }
+        let mut served = [0.0; 4];
+        while names.iter().all(|name| queue.waiting_of(SERVICE, name) > 0) {
+            let request = queue.pop(SERVICE).unwrap();
+            served[owners[&request.ticket]] += weight(&request);
+            let most = served.iter().copied().fold(0.0, f64::max);
+            let least = served.iter().copied().fold(f64::MAX, f64::min);
+            assert!(most - least <= 2.0 * heaviest, "seed {seed}: served {served:?}");
+        }
+    }
+}
+
+#[test]
+fn idle_time_is_not_saved_up() {
+    let mut queue = fairness::Fairness::new(fairness::Settings::default());
+    for ticket in 0..100 {
+        queue.push(SERVICE, "busy", waiting(ticket, 100, 0));
+    }
+    for _ in 0..50 {
+        queue.pop(SERVICE);
+    }
+    for ticket in 100..200 {
+        queue.push(SERVICE, "late", waiting(ticket, 100, 0));
+    }
+    let next: Vec<bool> = (0..20).map(|_| queue.pop(SERVICE).unwrap().ticket >= 100).collect();
+    let late = next.iter().filter(|is_late| **is_late).count();
+    assert!((9..=11).contains(&late), "{late} of the next 20 are the newcomer's");
+}
+
+#[test]
+fn debt_is_bounded() {
+    let settings = fairness::Settings { max_debt_tokens: 1000.0, ..Default::default() };
+    let mut queue = fairness::Fairness::new(settings);
+    queue.on_remote_usage(9, &[]);
+    let usage = fairness::Usage {
+        service: SERVICE.to_owned(),
+        organisation: "large".to_owned(),
+        served_tokens: 1_000_000,
+    };
+    queue.push(SERVICE, "small", waiting(0, 100, 0));
+    queue.push(SERVICE, "large", waiting(1, 100, 0));
+    queue.on_remote_usage(9, &[usage]);
+    for ticket in 2..30 {
+        queue.push(SERVICE, "small", waiting(ticket, 100, 0));
+    }
+    let position = (0..30).position(|_| queue.pop(SERVICE).unwrap().ticket == 1);
+    assert_eq!(
+        position,
+        Some(10),
+        "after the small one's thousand tokens; the tie goes by arrival"
+    );
+}
+
+#[test]
+fn names_do_not_matter() {
+    for seed in seeds(50) {
+        let run = |names: [&str; 3]| {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let mut queue = fairness::Fairness::new(fairness::Settings::default());
+            let mut order = Vec::new();
+            for ticket in 0..300 {
+                let name = names[rng.random_range(0..3)];
+                queue.push(SERVICE, name, waiting(ticket, 10 * rng.random_range(1..5), 10));
+                if rng.random_bool(0.6) {
+                    order.extend(queue.pop(SERVICE).map(|request| request.ticket));
+                }
+            }
+            order
+        };
+        assert_eq!(run(["a", "b", "c"]), run(["z", "m", "b"]), "seed {seed}");
+    }
+}
+
+#[test]
+fn each_request_is_taken_once() {
+    for seed in seeds(200) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut queue = fairness::Fairness::new(fairness::Settings::default());
+        let mut waits: BTreeMap<u64, &str> = BTreeMap::new();
+        let mut runs = BTreeSet::new();
+        for ticket in 0..400 {
+            match rng.random_range(0..5) {
+                0 | 1 => {
+                    let name = ["a", "b", "c"][rng.random_range(0..3)];
+                    let tokens = rng.random_range(1..1000);
+                    queue.push(SERVICE, name, waiting(ticket, tokens, 10));
+                    waits.insert(ticket, name);
+                }
+                2 => {
+                    let taken = queue.pop(SERVICE);
+                    assert_eq!(taken.is_none(), waits.is_empty(), "seed {seed}");
+                    let Some(taken) = taken else { continue };
+                    assert!(waits.remove(&taken.ticket).is_some(), "seed {seed}: taken twice");
+                    runs.insert(taken.ticket);
+                }
+                3 => {
+                    let Some((ticket, name)) = waits.pop_first() else { continue };
+                    assert!(queue.remove(SERVICE, name, ticket), "seed {seed}");
+                    assert!(!queue.remove(SERVICE, name, ticket), "seed {seed}");
+                }
+                _ => {
+                    let Some(ticket) = runs.pop_first() else { continue };
+                    queue.charge(ticket, rng.random_range(0..500));
+                    queue.end(ticket);
+                }
+            }
+            let running: usize = ["a", "b", "c"].map(|n| queue.running_of(SERVICE, n)).iter().sum();
+            assert_eq!(queue.waiting(SERVICE), waits.len(), "seed {seed}");
+            assert_eq!(running, runs.len(), "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn charges_follow_what_was_generated() {
+    let mut queue = fairness::Fairness::new(fairness::Settings::default());
+    queue.push(SERVICE, "a", waiting(1, 100, 50));
+    queue.pop(SERVICE);
+    assert_eq!(queue.counter(SERVICE, "a"), 200.0);
+    queue.charge(1, 80);
+    assert_eq!(queue.counter(SERVICE, "a"), 260.0);
+    queue.end(1);
+    assert_eq!(queue.counter(SERVICE, "a"), 260.0);
+    queue.push(SERVICE, "a", waiting(2, 100, 50));
+    queue.pop(SERVICE);
+    queue.charge(2, 10);
+    queue.end(2);
+    assert_eq!(queue.counter(SERVICE, "a"), 380.0);
+    let usage = queue.usages();
+    assert_eq!((usage.len(), usage[0].served_tokens), (1, 380));
+}
