--- /dev/null
+++ b/rhubarbrock/src/node.rs
@@ -0,0 +1,408 @@
+//! One node: the decisions put together.
+//!
+//! [`Node`] takes events and the time and gives back actions. The files
+//! `node_*` hold its parts: model requests, plain calls, the platform, other
+//! nodes and what it shows of itself.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rhubarbrock_schema::{peer, release as schema};
+
+use crate::{
+    action, claim, counter, dispatch, event, fairness, id, membership, node_model, node_plain,
+    node_platform, release, snapshot, timeline,
+};
+
+/// Time that a node may serve by a release after it heard of a higher version.
+pub const MAX_BEHIND: Duration = Duration::from_secs(4);
+
+/// Time between looks at what has no need of haste.
+const SLOW_TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What a node learns from its settings.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Id drawn for this process.
+    pub node: id::NodeId,
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Region, empty where not said.
+    pub region: String,
+    /// Platform's number of the instance, 0 for none.
+    pub instance: id::InstanceId,
+    /// Where callers are served.
+    pub caller_address: SocketAddr,
+    /// Where other nodes are served.
+    pub peer_address: SocketAddr,
+    /// Nodes to join by.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between membership probes.
+    pub probe_interval: Duration,
+    /// Longest drain, where it is not the release note's.
+    pub drain_limit: Option<Duration>,
+    /// Seed of whatever is drawn at random.
+    pub random_seed: u64,
+}
+
+/// What a ticket of the dispatcher stands for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Work {
+    Model(id::RequestId),
+    Plain(event::CallId),
+}
+
+/// One node's state.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) config: Config,
+    pub(crate) log: release::ReleaseLog,
+    pub(crate) snapshots: snapshot::Writer,
+    /// Organisation by the digest of each of its keys.
+    pub(crate) organisations: BTreeMap<event::Sha256, String>,
+    pub(crate) services: BTreeMap<String, schema::Service>,
+    pub(crate) policy: schema::Policy,
+    pub(crate) in_force_since: Duration,
+    pub(crate) dispatcher: dispatch::Dispatcher,
+    pub(crate) claims: claim::Claims,
+    pub(crate) membership: membership::Membership,
+    pub(crate) platform: node_platform::View,
+    pub(crate) models: BTreeMap<id::RequestId, node_model::ModelRequest>,
+    pub(crate) plains: BTreeMap<event::CallId, node_plain::PlainRequest>,
+    pub(crate) answered: node_plain::AnsweredCalls,
+    pub(crate) work: BTreeMap<fairness::Ticket, Work>,
+    pub(crate) attempts: BTreeMap<id::AttemptId, fairness::Ticket>,
+    /// Requests that are sent again at a time.
+    pub(crate) delayed: BTreeSet<(Duration, fairness::Ticket)>,
+    pub(crate) next_ticket: fairness::Ticket,
+    pub(crate) timeline: timeline::Timeline,
+    pub(crate) counters: counter::Counters,
+    pub(crate) actions: Vec<action::Action>,
+    pub(crate) now: Duration,
+    next_slow_tick: Duration,
+    pub(crate) wall: Duration,
+    pub(crate) is_ready: bool,
+    pub(crate) is_draining: bool,
+}
+
+impl Node {
+    /// A node that knows nothing yet.
+    pub fn new(config: Config) -> Node {
+        let dispatcher = dispatch::Dispatcher::new(
+            config.node,
+            &config.data_centre,
+            dispatch::Settings::default(),
+        );
+        let claims = claim::Claims::new(claim::Config::new(), config.node, config.random_seed);
+        let membership = membership::Membership::new(
+            membership::Config::default().probe_interval(config.probe_interval),
+            own_record(&config),
+            config.random_seed,
+        );
+        Node {
+            log: release::ReleaseLog::new(),
+            snapshots: snapshot::Writer::default(),
+            organisations: BTreeMap::new(),
+            services: BTreeMap::new(),
+            policy: schema::Policy::default(),
+            in_force_since: Duration::ZERO,
+            dispatcher,
+            claims,
+            membership,
+            platform: node_platform::View::default(),
+            models: BTreeMap::new(),
+            plains: BTreeMap::new(),
+            answered: node_plain::AnsweredCalls::default(),
+            work: BTreeMap::new(),
+            attempts: BTreeMap::new(),
+            delayed: BTreeSet::new(),
+            next_ticket: 1,
+            timeline: timeline::Timeline::new(&config.name),
+            counters: counter::Counters::default(),
+            actions: Vec::new(),
+            now: Duration::ZERO,
+            next_slow_tick: Duration::ZERO,
+            wall: Duration::ZERO,
+            is_ready: false,
+            is_draining: false,
+            config,
+        }
+    }
+
+    /// What to do first.
+    pub fn start(&mut self, now: Duration, wall: Duration) -> Vec<action::Action> {
+        self.set_time(now, wall);
+        for topic in [event::Topic::Release, event::Topic::Claims] {
+            self.act(action::Action::ReadFrom { topic, offset: 1 });
+        }
+        self.note("node.started", None, format!("in {}", self.config.data_centre));
+        self.take_actions()
+    }
+
+    /// Takes one event; `wall` is the time since the Unix epoch.
+    pub fn handle(
+        &mut self,
+        now: Duration,
+        wall: Duration,
+        event: event::Event,
+    ) -> Vec<action::Action> {
+        self.set_time(now, wall);
+        match event {
+            event::Event::Caller(event) => self.on_caller(event),
+            event::Event::Endpoint(event) => self.on_endpoint(event),
+            event::Event::Platform(event) => self.on_platform(event),
+            event::Event::Peer(event) => self.on_peer(event),
+            event::Event::Terminate => self.on_terminate(),
+        }
+        self.dispatch();
+        self.take_actions()
+    }
+
+    /// Time passes; to be called every few milliseconds.
+    pub fn tick(&mut self, now: Duration, wall: Duration) -> Vec<action::Action> {
+        self.set_time(now, wall);
+        self.tick_claims();
+        self.tick_peers();
+        self.release_delayed();
+        if self.now >= self.next_slow_tick {
+            self.next_slow_tick = self.now + SLOW_TICK_INTERVAL;
+            self.tick_models();
+            self.tick_plains();
+            self.tick_platform();
+            self.tick_drain();
+        }
+        self.dispatch();
+        self.take_actions()
+    }
+
+    /// Counts since the start.
+    pub fn counters(&self) -> &counter::Counters {
+        &self.counters
+    }
+
+    fn set_time(&mut self, now: Duration, wall: Duration) {
+        self.now = self.now.max(now);
+        self.wall = wall;
+    }
+
+    fn take_actions(&mut self) -> Vec<action::Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    fn on_caller(&mut self, event: event::CallerEvent) {
+        match event {
+            event::CallerEvent::Model(call) => self.on_model_call(*call),
+            event::CallerEvent::Plain(call) => self.on_plain_call(*call),
+            event::CallerEvent::Find(call) => self.on_find_call(&call),
+            event::CallerEvent::Services { call, key_sha256 } => {
+                self.on_services_call(call, &key_sha256);
+            }
+            event::CallerEvent::Gone { call } => self.on_caller_gone(call),
+            event::CallerEvent::Taken { request } => self.on_taken(request),
+        }
+    }
+
+    /// Sends or refuses what has its turn now.
+    fn dispatch(&mut self) {
+        for step in self.dispatcher.poll(self.now) {
+            match step {
+                dispatch::Step::Send { ticket, attempt, choice, waited } => {
+                    self.attempts.insert(attempt, ticket);
+                    match self.work.get(&ticket).copied() {
+                        Some(Work::Model(request)) => {
+                            self.send_model(request, attempt, &choice, waited);
+                        }
+                        Some(Work::Plain(call)) => self.send_plain(call, attempt, &choice, waited),
+                        None => panic!("the dispatcher sends only what was submitted"),
+                    }
+                }
+                dispatch::Step::Refuse { ticket, refusal } => match self.work.remove(&ticket) {
+                    Some(Work::Model(request)) => self.refuse_model(request, &refusal),
+                    Some(Work::Plain(call)) => self.refuse_plain(call, &refusal),
+                    None => panic!("the dispatcher refuses only what was submitted"),
+                },
+            }
+        }
+    }
+
+    /// Sends again what has waited long enough after a failure.
+    fn release_delayed(&mut self) {
+        while let Some(&(due, ticket)) = self.delayed.first() {
+            if due > self.now {
+                return;
+            }
+            self.delayed.remove(&(due, ticket));
+            let exclude = match self.work.get(&ticket) {
+                Some(Work::Model(request)) => self.models[request].excluded(),
+                Some(Work::Plain(call)) => self.plains[call].excluded(),
+                None => continue,
+            };
+            self.dispatcher.retry(ticket, &exclude);
+        }
+    }
+
+    pub(crate) fn act(&mut self, action: action::Action) {
+        self.actions.push(action);
+    }
+
+    /// Adds an event to the time line.
+    pub(crate) fn note(
+        &mut self,
+        kind: &'static str,
+        request: Option<id::RequestId>,
+        detail: String,
+    ) {
+        self.note_span(kind, request, detail, Duration::ZERO);
+    }
+
+    /// Adds an event that ends a duration.
+    pub(crate) fn note_span(
+        &mut self,
+        kind: &'static str,
+        request: Option<id::RequestId>,
+        detail: String,
+        duration: Duration,
+    ) {
+        let request = request.map(|request| request.to_string()).unwrap_or_default();
+        let entry = timeline::Entry { kind, request, detail, duration };
+        self.timeline.record(self.wall, entry);
+    }
+
+    /// Logs a change of state and adds it to the time line.
+    pub(crate) fn report(&mut self, level: action::LogLevel, kind: &'static str, message: String) {
+        self.note(kind, None, message.clone());
+        self.act(action::Action::Log { level, message: format!("{kind}: {message}") });
+    }
+
+    pub(crate) fn new_ticket(&mut self, work: Work) -> fairness::Ticket {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.work.insert(ticket, work);
+        ticket
+    }
+
+    /// Tells the caller that its call was not accepted.
+    pub(crate) fn refuse(
+        &mut self,
+        call: event::CallId,
+        kind: action::RefusalKind,
+        detail: impl Into<String>,
+        retry_after: Option<Duration>,
+    ) {
+        self.counters.refused += 1;
+        let refusal = action::Refusal {
+            kind,
+            detail: detail.into(),
+            outcome: action::Outcome::NotRun,
+            retry_after,
+            request: None,
+        };
+        self.act(action::Action::Refuse { call, refusal });
+    }
+
+    /// The organisation of a key; refuses the call where there is none or the node is not ready.
+    pub(crate) fn admit_caller(
+        &mut self,
+        call: event::CallId,
+        key_sha256: &event::Sha256,
+    ) -> Option<String> {
+        let wait = Some(Duration::from_secs(1));
+        if self.is_draining {
+            let detail = "this node is leaving; send the request again";
+            self.refuse(call, action::RefusalKind::Unavailable, detail, wait);
+            return None;
+        }
+        self.authorise(call, key_sha256)
+    }
+
+    /// The organisation of a key; refuses the call where there is none.
+    pub(crate) fn authorise(
+        &mut self,
+        call: event::CallId,
+        key_sha256: &event::Sha256,
+    ) -> Option<String> {
+        if self.log.release().is_none() || self.is_behind() {
+            let detail = "this node does not have the release in force yet";
+            let wait = Some(Duration::from_secs(1));
+            self.refuse(call, action::RefusalKind::Unavailable, detail, wait);
+            return None;
+        }
+        let organisation = self.organisations.get(key_sha256).cloned();
+        if organisation.is_none() {
+            let detail = "the key is not known";
+            self.refuse(call, action::RefusalKind::Unauthorized, detail, None);
+        }
+        organisation
+    }
+
+    fn on_services_call(&mut self, call: event::CallId, key_sha256: &event::Sha256) {
+        if self.authorise(call, key_sha256).is_none() {
+            return;
+        }
+        let created_s = self.in_force_since.as_secs();
+        let is_model = |service: &&schema::Service| service.kind() == schema::ServiceKind::Model;
+        let services = self
+            .services
+            .values()
+            .filter(is_model)
+            .map(|service| action::ServiceName { name: service.name.clone(), created_s })
+            .collect();
+        self.act(action::Action::AnswerServices { call, services });
+    }
+
+    fn on_caller_gone(&mut self, call: event::CallId) {
+        self.abandon_model_call(call);
+        self.abandon_plain_call(call);
+    }
+
+    fn on_find_call(&mut self, call: &event::FindCall) {
+        let Some(organisation) = self.authorise(call.call, &call.key_sha256) else { return };
+        let request = call.request;
+        if let Some(held) = self.models.get(&request) {
+            if held.record.organisation == organisation {
+                self.act(action::Action::Attach { call: call.call, request, offset: call.offset });
+            } else {
+                self.refuse_unknown(call.call);
+            }
+            return;
+        }
+        if let Some(found) = self.answered.get(request, &organisation) {
+            let action = action::Action::AnswerPlain {
+                call: call.call,
+                request,
+                answer: found,
+                repeated: false,
+            };
+            self.act(action);
+            return;
+        }
+        let nodes = self.nodes_to_ask(request);
+        if nodes.is_empty() {
+            self.refuse_unknown(call.call);
+            return;
+        }
+        let offset = call.offset;
+        self.act(action::Action::Relay { call: call.call, request, organisation, offset, nodes });
+    }
+
+    fn refuse_unknown(&mut self, call: event::CallId) {
+        let detail = "there is no request of this id";
+        self.refuse(call, action::RefusalKind::NotFound, detail, None);
+    }
+}
+
+fn own_record(config: &Config) -> peer::Member {
+    peer::Member {
+        node: config.node,
+        name: config.name.clone(),
+        data_centre: config.data_centre.clone(),
+        datagram_address: config.peer_address.to_string(),
+        peer_address: config.peer_address.to_string(),
+        caller_address: config.caller_address.to_string(),
+        instance: config.instance,
+        ..Default::default()
+    }
+}
--- /dev/null
+++ b/rhubarbrock/src/node_model.rs
@@ -0,0 +1,467 @@
+//! A node's model requests: from the call to the end of the answer.
+
+use std::time::Duration;
+
+use rhubarbrock_schema::{peer, release as schema};
+
+use crate::node::{Node, Work};
+use crate::{action, admission, dispatch, event, fairness, id, routing};
+
+/// Time in which an engine must take a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Longest time without any token before an engine counts as broken.
+const IDLE_TIMEOUT: Duration = Duration::from_millis(10_000);
+
+/// Longest life of an answer where no release says otherwise.
+const DEFAULT_ANSWER_LIFE: Duration = Duration::from_secs(120);
+
+/// Back-off after the first failure of a request; doubles up to the limit.
+const FIRST_BACKOFF: Duration = Duration::from_millis(20);
+
+/// Longest back-off.
+const MAX_BACKOFF: Duration = Duration::from_millis(2_000);
+
+/// How long a busy engine that names no time is left alone.
+const BUSY_PAUSE: Duration = Duration::from_millis(500);
+
+/// Priority of a request that has not been answered in part.
+const PRIORITY_NEW: i32 = 1;
+
+/// Priority of a request whose caller has a part of its answer.
+const PRIORITY_RESUMED: i32 = 0;
+
+/// A model request held here.
+#[derive(Debug, Clone)]
+pub(crate) struct ModelRequest {
+    /// Record as other nodes keep it, with the text up to the last mark.
+    pub(crate) record: peer::RequestRecord,
+    /// Call that waits for acceptance.
+    pub(crate) waiting_call: Option<event::CallId>,
+    /// Whether the caller was told that it is accepted.
+    pub(crate) is_accepted: bool,
+    /// Whether another node has a copy, or none can be had.
+    pub(crate) is_kept: bool,
+    pub(crate) ticket: fairness::Ticket,
+    pub(crate) attempt: Option<id::AttemptId>,
+    /// Endpoints that failed it, oldest first.
+    pub(crate) failed_at: Vec<id::EndpointId>,
+    pub(crate) failures: u32,
+    pub(crate) arrived_at: Duration,
+    pub(crate) first_token_at: Option<Duration>,
+    pub(crate) ends_by: Duration,
+    pub(crate) ended_at: Option<Duration>,
+}
+
+impl ModelRequest {
+    /// Endpoints that the next attempt avoids.
+    pub(crate) fn excluded(&self) -> Vec<id::EndpointId> {
+        self.failed_at.clone()
+    }
+}
+
+impl Node {
+    pub(crate) fn on_model_call(&mut self, call: event::ModelCall) {
+        let Some(organisation) = self.admit_caller(call.call, &call.key_sha256) else { return };
+        let Some(service) = self.services.get(&call.service) else {
+            let detail = format!("there is no service called {}", call.service);
+            self.refuse(call.call, action::RefusalKind::NotFound, detail, None);
+            return;
+        };
+        if service.kind() != schema::ServiceKind::Model {
+            let detail = format!("{} is not a model service", call.service);
+            self.refuse(call.call, action::RefusalKind::BadRequest, detail, None);
+            return;
+        }
+        if call.body.len() > service.max_body_bytes as usize {
+            let detail = format!("the body is larger than {} bytes", service.max_body_bytes);
+            self.refuse(call.call, action::RefusalKind::TooLarge, detail, None);
+            return;
+        }
+        let max_tokens = call.max_tokens.unwrap_or(service.max_tokens).min(service.max_tokens);
+        let timeout = Duration::from_millis(u64::from(service.timeout_ms));
+        let request = id::RequestId { holder: self.config.node, secret: call.secret };
+        let ticket = self.new_ticket(Work::Model(request));
+        let job = model_job(ticket, &organisation, &call);
+        if let Err(refusal) = self.dispatcher.submit(self.now, job) {
+            self.work.remove(&ticket);
+            self.refuse_admission(call.call, &refusal);
+            return;
+        }
+        let record = peer::RequestRecord {
+            request: request.to_string(),
+            organisation,
+            service: call.service,
+            path: call.path,
+            body: call.body,
+            holder: self.config.node,
+            term: 1,
+            fingerprint: call.fingerprint,
+            streamed: call.streamed,
+            stream_usage: call.stream_usage,
+            created_s: self.wall.as_secs(),
+            max_tokens,
+            ..Default::default()
+        };
+        self.open_model(request, record, ticket, timeout, Some(call.call));
+    }
+
+    /// Makes the answer and the state of a request, new or adopted.
+    pub(crate) fn open_model(
+        &mut self,
+        request: id::RequestId,
+        record: peer::RequestRecord,
+        ticket: fairness::Ticket,
+        timeout: Duration,
+        waiting_call: Option<event::CallId>,
+    ) {
+        let open = action::OpenAnswer { record: record.clone(), request };
+        self.act(action::Action::OpenAnswer(Box::new(open)));
+        let held = ModelRequest {
+            is_accepted: waiting_call.is_none(),
+            waiting_call,
+            is_kept: false,
+            ticket,
+            attempt: None,
+            failed_at: Vec::new(),
+            failures: 0,
+            arrived_at: self.now,
+            first_token_at: None,
+            ends_by: self.now + timeout,
+            ended_at: None,
+            record,
+        };
+        self.models.insert(request, held);
+        self.keep_copy(request);
+    }
+
+    fn refuse_admission(&mut self, call: event::CallId, refusal: &admission::Refusal) {
+        self.note("request.refused", None, refusal.to_string());
+        let kind = action::RefusalKind::Overloaded;
+        self.refuse(call, kind, refusal.to_string(), Some(refusal.retry_after));
+    }
+
+    /// The dispatcher will not send a request that waits.
+    pub(crate) fn refuse_model(&mut self, request: id::RequestId, refusal: &admission::Refusal) {
+        let Some(held) = self.models.get(&request) else { return };
+        if held.is_accepted {
+            self.fail_model(request, refusal.to_string());
+            return;
+        }
+        if let Some(call) = held.waiting_call {
+            self.refuse_admission(call, refusal);
+        }
+        self.drop_model(request);
+    }
+
+    /// The dispatcher sends a request now.
+    pub(crate) fn send_model(
+        &mut self,
+        request: id::RequestId,
+        attempt: id::AttemptId,
+        choice: &routing::Choice,
+        waited: Duration,
+    ) {
+        let endpoint = choice.endpoint;
+        let address = self.endpoint_address(endpoint);
+        let held = self.models.get_mut(&request).expect("work names a request that is held");
+        held.attempt = Some(attempt);
+        held.record.endpoint = endpoint;
+        held.record.attempts += 1;
+        let is_resumed = held.record.tokens > 0;
+        let model = self.services.get(&held.record.service).map(|s| s.model.clone());
+        let start = action::ModelAttempt {
+            attempt,
+            request,
+            endpoint,
+            address,
+            path: held.record.path.clone(),
+            body: held.record.body.clone(),
+            model: model.unwrap_or_default(),
+            priority: if is_resumed { PRIORITY_RESUMED } else { PRIORITY_NEW },
+            max_tokens: held.record.max_tokens,
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_timeout: IDLE_TIMEOUT,
+            kv_source: None,
+        };
+        let number = held.record.attempts;
+        self.counters.model_attempts += 1;
+        self.counters.model_resumed += u64::from(is_resumed);
+        self.act(action::Action::StartModel(Box::new(start)));
+        let detail = format!("attempt {number} to endpoint {endpoint}: {}", choice.why);
+        self.note_span("request.sent", Some(request), detail, waited);
+        self.accept_if_due(request);
+    }
+
+    /// A request is accepted once it was sent and another node has a copy.
+    pub(crate) fn accept_if_due(&mut self, request: id::RequestId) {
+        let Some(held) = self.models.get_mut(&request) else { return };
+        if held.is_accepted || !held.is_kept || held.record.attempts == 0 {
+            return;
+        }
+        held.is_accepted = true;
+        let took = self.now.saturating_sub(held.arrived_at);
+        let call = held.waiting_call.take();
+        let organisation = held.record.organisation.clone();
+        let service = held.record.service.clone();
+        self.counters.model_accepted += 1;
+        if let Some(call) = call {
+            self.act(action::Action::Attach { call, request, offset: 0 });
+        }
+        let detail = format!("{service} for {organisation}");
+        self.note_span("request.accepted", Some(request), detail, took);
+    }
+
+    pub(crate) fn on_endpoint(&mut self, event: event::EndpointEvent) {
+        match event {
+            event::EndpointEvent::FirstToken { attempt } => self.on_first_token(attempt),
+            event::EndpointEvent::Progress { attempt, offset, text, chunk_bytes, tokens } => {
+                let mark = Mark { offset, text, chunk_bytes, tokens };
+                self.on_model_progress(attempt, mark);
+            }
+            event::EndpointEvent::ModelEnded { attempt, end } => {
+                self.on_model_ended(attempt, end);
+            }
+            event::EndpointEvent::PlainEnded { attempt, end } => {
+                self.on_plain_ended(attempt, end);
+            }
+            event::EndpointEvent::Load(report) => self.on_load(&report),
+            event::EndpointEvent::LoadFailed { endpoint } => self.on_load_failed(endpoint),
+        }
+    }
+
+    fn model_of(&self, attempt: id::AttemptId) -> Option<id::RequestId> {
+        let ticket = self.attempts.get(&attempt)?;
+        match self.work.get(ticket)? {
+            Work::Model(request) => Some(*request),
+            Work::Plain(_) => None,
+        }
+    }
+
+    fn on_first_token(&mut self, attempt: id::AttemptId) {
+        self.dispatcher.on_first_token(self.now, attempt);
+        let Some(request) = self.model_of(attempt) else { return };
+        let held = self.models.get_mut(&request).expect("work names a request that is held");
+        if held.first_token_at.is_none() {
+            held.first_token_at = Some(self.now);
+            let took = self.now.saturating_sub(held.arrived_at);
+            self.note_span("request.first_token", Some(request), String::new(), took);
+        }
+    }
+
+    fn on_model_progress(&mut self, attempt: id::AttemptId, mark: Mark) {
+        self.dispatcher.on_progress(self.now, attempt, mark.tokens);
+        let Some(request) = self.model_of(attempt) else { return };
+        let held = self.models.get_mut(&request).expect("work names a request that is held");
+        let record = &mut held.record;
+        assert_eq!(mark.offset, record.text.len() as u64, "marks follow each other");
+        record.text.push_str(&mark.text);
+        record.chunk_bytes.extend(&mark.chunk_bytes);
+        record.tokens = mark.tokens;
+        self.keep_progress(request, &mark);
+    }
+
+    fn on_model_ended(&mut self, attempt: id::AttemptId, end: event::ModelEnd) {
+        let request = self.model_of(attempt);
+        self.attempts.remove(&attempt);
+        let Some(request) = request else {
+            self.dispatcher.on_failure(self.now, attempt, routing::Failure::Cut);
+            return;
+        };
+        let held = self.models.get_mut(&request).expect("work names a request that is held");
+        held.attempt = None;
+        match end {
+            event::ModelEnd::Finished(finish) => self.finish_model(request, attempt, finish),
+            event::ModelEnd::Rejected { status, message } => {
+                let answered = routing::Answered { answer_tokens: 0 };
+                self.dispatcher.on_done(self.now, attempt, &answered);
+                let shown: String = message.chars().take(300).collect();
+                self.end_model(
+                    request,
+                    failed(format!("the engine refused the request ({status}): {shown}")),
+                );
+            }
+            event::ModelEnd::Refused { retry_after } => {
+                let retry_after = retry_after.unwrap_or(BUSY_PAUSE);
+                self.retry_model(request, attempt, routing::Failure::Busy { retry_after });
+            }
+            event::ModelEnd::NotSent { message } => {
+                self.note("attempt.not_sent", Some(request), message);
+                self.retry_model(request, attempt, routing::Failure::Connect);
+            }
+            event::ModelEnd::Broken { message } => {
+                self.note("attempt.broken", Some(request), message);
+                self.retry_model(request, attempt, routing::Failure::Cut);
+            }
+            event::ModelEnd::Cancelled => {
+                self.retry_model(request, attempt, routing::Failure::Cut);
+            }
+        }
+    }
+
+    fn finish_model(
+        &mut self,
+        request: id::RequestId,
+        attempt: id::AttemptId,
+        finish: peer::Finish,
+    ) {
+        let held = &self.models[&request];
+        let answered = routing::Answered { answer_tokens: finish.completion_tokens };
+        let took = self.now.saturating_sub(held.arrived_at);
+        let change = self.dispatcher.on_done(self.now, attempt, &answered);
+        self.note_change(change);
+        self.counters.model_answered += 1;
+        self.counters.cached_tokens += u64::from(finish.cached_tokens);
+        self.counters.computed_tokens +=
+            u64::from(finish.prompt_tokens.saturating_sub(finish.cached_tokens));
+        self.counters.generated_tokens += u64::from(finish.completion_tokens);
+        let detail = format!(
+            "{} tokens, {} of {} prompt tokens cached",
+            finish.completion_tokens, finish.cached_tokens, finish.prompt_tokens
+        );
+        self.note_span("request.answered", Some(request), detail, took);
+        self.end_model(request, finish);
+    }
+
+    fn retry_model(
+        &mut self,
+        request: id::RequestId,
+        attempt: id::AttemptId,
+        failure: routing::Failure,
+    ) {
+        let change = self.dispatcher.on_failure(self.now, attempt, failure);
+        self.note_change(change);
+        let held = self.models.get_mut(&request).expect("work names a request that is held");
+        let endpoint = held.record.endpoint;
+        held.record.endpoint = 0;
+        if !held.failed_at.contains(&endpoint) {
+            held.failed_at.push(endpoint);
+        }
+        held.failures += 1;
+        let due = self.now + backoff(held.failures);
+        let ticket = held.ticket;
+        let detail = format!("endpoint {endpoint}: {failure}");
+        self.delayed.insert((due, ticket));
+        self.note("request.retry", Some(request), detail);
+    }
+
+    /// Ends a request that can't be answered.
+    pub(crate) fn fail_model(&mut self, request: id::RequestId, why: String) {
+        self.counters.model_failed += 1;
+        self.note("request.failed", Some(request), why.clone());
+        self.end_model(request, failed(why));
+    }
+
+    fn end_model(&mut self, request: id::RequestId, finish: peer::Finish) {
+        let Some(held) = self.models.get_mut(&request) else { return };
+        held.ended_at = Some(self.now);
+        held.attempt = None;
+        let ticket = held.ticket;
+        self.work.remove(&ticket);
+        self.delayed.retain(|(_, delayed)| *delayed != ticket);
+        if let Some(attempt) = self.dispatcher.give_up(self.now, ticket) {
+            self.act(action::Action::Cancel { attempt });
+        }
+        let waiting_call = self.models.get_mut(&request).and_then(|held| held.waiting_call.take());
+        self.act(action::Action::FinishAnswer { request, finish: finish.clone() });
+        if let Some(call) = waiting_call {
+            self.act(action::Action::Attach { call, request, offset: 0 });
+        }
+        self.keep_finish(request, finish);
+    }
+
+    /// Forgets a request that was not accepted.
+    pub(crate) fn drop_model(&mut self, request: id::RequestId) {
+        let Some(held) = self.models.remove(&request) else { return };
+        self.work.remove(&held.ticket);
+        self.delayed.retain(|(_, delayed)| *delayed != held.ticket);
+        if let Some(attempt) = self.dispatcher.give_up(self.now, held.ticket) {
+            self.act(action::Action::Cancel { attempt });
+        }
+        self.act(action::Action::DropAnswer { request });
+        self.forget_copy(request);
+    }
+
+    /// A caller left before it was told the request's id, so nobody can ask for the answer.
+    pub(crate) fn abandon_model_call(&mut self, call: event::CallId) {
+        let abandoned =
+            self.models.iter().find(|(_, held)| held.waiting_call == Some(call)).map(|(id, _)| *id);
+        if let Some(request) = abandoned {
+            self.note("request.abandoned", Some(request), String::new());
+            self.drop_model(request);
+        }
+    }
+
+    pub(crate) fn tick_models(&mut self) {
+        let answer_life = match self.policy.answer_life_s {
+            0 => DEFAULT_ANSWER_LIFE,
+            life_s => Duration::from_secs(u64::from(life_s)),
+        };
+        let now = self.now;
+        let late: Vec<id::RequestId> = self
+            .models
+            .iter()
+            .filter(|(_, held)| held.ended_at.is_none() && now > held.ends_by)
+            .map(|(request, _)| *request)
+            .collect();
+        for request in late {
+            self.fail_model(request, "the answer was not complete in time".to_owned());
+        }
+        let over: Vec<id::RequestId> = self
+            .models
+            .iter()
+            .filter(|(_, held)| held.ended_at.is_some_and(|ended| now > ended + answer_life))
+            .map(|(request, _)| *request)
+            .collect();
+        for request in over {
+            self.models.remove(&request);
+            self.act(action::Action::DropAnswer { request });
+            self.forget_copy(request);
+        }
+    }
+
+    pub(crate) fn note_change(&mut self, change: Option<routing::Change>) {
+        let Some(change) = change else { return };
+        if change == routing::Change::Ejected {
+            self.counters.endpoints_ejected += 1;
+        }
+        self.report(action::LogLevel::Warning, "endpoint.changed", change.to_string());
+    }
+}
+
+/// Text since the last mark.
+#[derive(Debug, Clone)]
+pub(crate) struct Mark {
+    pub(crate) offset: u64,
+    pub(crate) text: String,
+    pub(crate) chunk_bytes: Vec<u32>,
+    pub(crate) tokens: u32,
+}
+
+fn model_job(
+    ticket: fairness::Ticket,
+    organisation: &str,
+    call: &event::ModelCall,
+) -> dispatch::Job {
+    dispatch::Job {
+        ticket,
+        service: call.service.clone(),
+        organisation: organisation.to_owned(),
+        blocks: call.blocks.clone(),
+        prompt_tokens: call.prompt_tokens,
+        dialogue: call.dialogue,
+        settled_tokens: call.settled_tokens,
+        max_tokens: call.max_tokens,
+        deadline: call.deadline,
+        may_probe: true,
+    }
+}
+
+fn failed(error: String) -> peer::Finish {
+    peer::Finish { error, ..Default::default() }
+}
+
+fn backoff(failures: u32) -> Duration {
+    let doubled = FIRST_BACKOFF * 2_u32.saturating_pow(failures.saturating_sub(1).min(10));
+    doubled.min(MAX_BACKOFF)
+}
--- /dev/null
+++ b/rhubarbrock/src/node_plain.rs
@@ -0,0 +1,509 @@
+//! A node's calls to plain services.
+//!
+//! A repeatable call may be sent again after a failure. A call that is not
+//! repeatable is claimed in the log first and sent at most once.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rhubarbrock_schema::release as schema;
+
+use crate::node::{Node, Work};
+use crate::{action, admission, claim, dispatch, event, fairness, id, route, routing};
+
+/// Attempts at a repeatable call before it is given up.
+const MAX_ATTEMPTS: u32 = 4;
+
+/// Back-off before a repeatable call is sent again, times the attempts so far.
+const BACKOFF_STEP: Duration = Duration::from_millis(30);
+
+/// Answers kept for callers who ask again by request id.
+const MAX_ANSWERED: usize = 4_096;
+
+/// Largest answer kept, in bytes.
+const MAX_KEPT_BYTES: usize = 64 * 1024;
+
+/// A call to a plain service that is not concluded.
+#[derive(Debug, Clone)]
+pub(crate) struct PlainRequest {
+    pub(crate) request: id::RequestId,
+    pub(crate) organisation: String,
+    call: event::PlainCall,
+    is_repeatable: bool,
+    timeout: Duration,
+    ticket: Option<fairness::Ticket>,
+    attempt: Option<id::AttemptId>,
+    attempts: u32,
+    failed_at: Vec<id::EndpointId>,
+    /// Whether a failed attempt may have run.
+    may_have_run: bool,
+    /// Set once the claim was read back.
+    claim: Option<HeldClaim>,
+    /// Whether the caller was told or went away.
+    is_told: bool,
+    arrived_at: Duration,
+    ends_by: Duration,
+}
+
+#[derive(Debug, Clone)]
+struct HeldClaim {
+    key: String,
+    fence: id::Offset,
+}
+
+impl PlainRequest {
+    /// Endpoints that the next attempt avoids.
+    pub(crate) fn excluded(&self) -> Vec<id::EndpointId> {
+        self.failed_at.clone()
+    }
+}
+
+/// Answers kept for callers who ask again.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct AnsweredCalls {
+    by_request: BTreeMap<id::RequestId, AnsweredCall>,
+    by_time: BTreeSet<(Duration, id::RequestId)>,
+}
+
+#[derive(Debug, Clone)]
+struct AnsweredCall {
+    organisation: String,
+    answer: event::PlainAnswer,
+    at: Duration,
+}
+
+impl AnsweredCalls {
+    fn insert(
+        &mut self,
+        at: Duration,
+        request: id::RequestId,
+        organisation: String,
+        answer: event::PlainAnswer,
+    ) {
+        if answer.body.len() > MAX_KEPT_BYTES {
+            return;
+        }
+        if self.by_request.len() >= MAX_ANSWERED
+            && let Some((_, oldest)) = self.by_time.pop_first()
+        {
+            self.by_request.remove(&oldest);
+        }
+        self.by_time.insert((at, request));
+        self.by_request.insert(request, AnsweredCall { organisation, answer, at });
+    }
+
+    /// The answer of a request, for its organisation only.
+    pub(crate) fn get(
+        &self,
+        request: id::RequestId,
+        organisation: &str,
+    ) -> Option<event::PlainAnswer> {
+        let found = self.by_request.get(&request)?;
+        (found.organisation == organisation).then(|| found.answer.clone())
+    }
+
+    fn expire(&mut self, before: Duration) {
+        while let Some(&(at, request)) = self.by_time.first() {
+            if at >= before {
+                return;
+            }
+            self.by_time.remove(&(at, request));
+            if self.by_request.get(&request).is_some_and(|found| found.at == at) {
+                self.by_request.remove(&request);
+            }
+        }
+    }
+}
+
+impl Node {
+    pub(crate) fn on_plain_call(&mut self, call: event::PlainCall) {
+        let Some(organisation) = self.admit_caller(call.call, &call.key_sha256) else { return };
+        let Some(service) = self.services.get(&call.service) else {
+            let detail = format!("there is no service called {}", call.service);
+            self.refuse(call.call, action::RefusalKind::NotFound, detail, None);
+            return;
+        };
+        if service.kind() != schema::ServiceKind::Plain {
+            let detail = format!("{} is not a plain service", call.service);
+            self.refuse(call.call, action::RefusalKind::BadRequest, detail, None);
+            return;
+        }
+        if call.body.len() > service.max_body_bytes as usize {
+            let detail = format!("the body is larger than {} bytes", service.max_body_bytes);
+            self.refuse(call.call, action::RefusalKind::TooLarge, detail, None);
+            return;
+        }
+        let timeout = Duration::from_millis(u64::from(service.timeout_ms));
+        let is_repeatable = route::is_repeatable(service, &call.method, &call.path);
+        let number = call.call;
+        let plain = PlainRequest {
+            request: id::RequestId { holder: self.config.node, secret: call.secret },
+            organisation,
+            is_repeatable,
+            timeout,
+            ticket: None,
+            attempt: None,
+            attempts: 0,
+            failed_at: Vec::new(),
+            may_have_run: false,
+            claim: None,
+            is_told: false,
+            arrived_at: self.now,
+            ends_by: self.now + timeout,
+            call,
+        };
+        self.plains.insert(number, plain);
+        if is_repeatable {
+            self.submit_plain(number);
+        } else {
+            self.begin_claim(number);
+        }
+    }
+
+    fn begin_claim(&mut self, call: event::CallId) {
+        let plain = &self.plains[&call];
+        let place = plain.call.sequence.as_ref().map(|sequence| claim::Place {
+            sequence: sequence.sequence.clone(),
+            position: sequence.position,
+        });
+        let new = claim::NewCall {
+            call,
+            organisation: plain.organisation.clone(),
+            key: plain.call.idempotency_key.clone(),
+            repeated: plain.call.is_repetition,
+            key_created: plain.call.key_created,
+            request_sha256: plain.call.request_sha256,
+            service: plain.call.service.clone(),
+            place,
+        };
+        let actions = self.claims.begin(self.now, self.wall, new);
+        self.perform_claims(actions);
+    }
+
+    pub(crate) fn perform_claims(&mut self, actions: Vec<claim::Action>) {
+        for action in actions {
+            match action {
+                claim::Action::Append { batch, record } => {
+                    self.append_claims(batch, record);
+                }
+                claim::Action::Dispatch { call, key, fence } => {
+                    self.dispatch_claimed(call, HeldClaim { key, fence });
+                }
+                claim::Action::Finish { call, conclusion } => self.conclude(call, conclusion),
+            }
+        }
+    }
+
+    fn dispatch_claimed(&mut self, call: event::CallId, held: HeldClaim) {
+        let Some(plain) = self.plains.get_mut(&call) else {
+            self.end_claim(call, claim::DispatchResult::NotSent);
+            return;
+        };
+        let request = plain.request;
+        let detail = format!("key claimed at offset {}", held.fence);
+        plain.claim = Some(held);
+        self.note("call.claimed", Some(request), detail);
+        self.submit_plain(call);
+    }
+
+    /// Puts the call into the queue of its service.
+    fn submit_plain(&mut self, call: event::CallId) {
+        let ticket = self.new_ticket(Work::Plain(call));
+        let plain = self.plains.get_mut(&call).expect("a call is submitted while it is held");
+        plain.ticket = Some(ticket);
+        let job = dispatch::Job {
+            ticket,
+            service: plain.call.service.clone(),
+            organisation: plain.organisation.clone(),
+            blocks: Vec::new(),
+            prompt_tokens: 1,
+            dialogue: 0,
+            settled_tokens: 0,
+            max_tokens: Some(1),
+            deadline: plain.call.deadline,
+            may_probe: plain.is_repeatable,
+        };
+        if let Err(refusal) = self.dispatcher.submit(self.now, job) {
+            self.work.remove(&ticket);
+            self.refuse_plain(call, &refusal);
+        }
+    }
+
+    /// The dispatcher will not send a call that waits.
+    pub(crate) fn refuse_plain(&mut self, call: event::CallId, refusal: &admission::Refusal) {
+        let Some(plain) = self.plains.get(&call) else { return };
+        if plain.claim.is_some() {
+            self.end_claim(call, claim::DispatchResult::NotSent);
+            return;
+        }
+        let outcome = outcome_of_failure(plain);
+        self.tell_plain(
+            call,
+            action::RefusalKind::Overloaded,
+            refusal.to_string(),
+            outcome,
+            Some(refusal.retry_after),
+        );
+    }
+
+    /// The dispatcher sends a call now.
+    pub(crate) fn send_plain(
+        &mut self,
+        call: event::CallId,
+        attempt: id::AttemptId,
+        choice: &routing::Choice,
+        waited: Duration,
+    ) {
+        let is_allowed = match self.plains.get(&call) {
+            Some(plain) if plain.claim.is_some() => self.claims.on_dispatched(self.now, call),
+            Some(_) => true,
+            None => false,
+        };
+        if !is_allowed {
+            self.attempts.remove(&attempt);
+            let ticket = self.plains.get(&call).and_then(|plain| plain.ticket);
+            if let Some(ticket) = ticket {
+                self.work.remove(&ticket);
+                self.dispatcher.give_up(self.now, ticket);
+            }
+            self.end_claim(call, claim::DispatchResult::NotSent);
+            return;
+        }
+        let address = self.endpoint_address(choice.endpoint);
+        let plain = self.plains.get_mut(&call).expect("the call is held");
+        plain.attempt = Some(attempt);
+        plain.attempts += 1;
+        let request = plain.request;
+        let start = action::PlainAttempt {
+            attempt,
+            request,
+            endpoint: choice.endpoint,
+            address,
+            method: plain.call.method.clone(),
+            path_and_query: path_and_query(&plain.call),
+            content_type: plain.call.content_type.clone(),
+            body: plain.call.body.clone(),
+            idempotency_key: match &plain.claim {
+                Some(held) => Some(held.key.clone()),
+                None => plain.call.idempotency_key.clone(),
+            },
+            fence: plain.claim.as_ref().map(|held| held.fence),
+            timeout: plain.timeout,
+        };
+        plain.failed_at.push(choice.endpoint);
+        self.counters.plain_attempts += 1;
+        self.act(action::Action::StartPlain(Box::new(start)));
+        let detail = format!("to endpoint {}: {}", choice.endpoint, choice.why);
+        self.note_span("call.sent", Some(request), detail, waited);
+    }
+
+    pub(crate) fn on_plain_ended(&mut self, attempt: id::AttemptId, end: event::PlainEnd) {
+        let ticket = self.attempts.remove(&attempt);
+        let work = ticket.and_then(|ticket| self.work.get(&ticket).copied());
+        let Some(Work::Plain(call)) = work else {
+            self.dispatcher.on_failure(self.now, attempt, routing::Failure::Cut);
+            return;
+        };
+        let failure = match &end {
+            event::PlainEnd::Answered(_) | event::PlainEnd::FenceRefused => None,
+            event::PlainEnd::NotSent { .. } => Some(routing::Failure::Connect),
+            event::PlainEnd::Unknown { .. } => Some(routing::Failure::Cut),
+        };
+        let change = match failure {
+            None => {
+                let answered = routing::Answered { answer_tokens: 1 };
+                self.dispatcher.on_done(self.now, attempt, &answered)
+            }
+            Some(failure) => self.dispatcher.on_failure(self.now, attempt, failure),
+        };
+        self.note_change(change);
+        let Some(plain) = self.plains.get_mut(&call) else { return };
+        plain.attempt = None;
+        if plain.claim.is_some() {
+            self.end_claim(call, dispatch_result(end));
+        } else {
+            self.end_repeatable(call, end);
+        }
+    }
+
+    /// Tells the claim how its dispatch ended; it concludes the call.
+    fn end_claim(&mut self, call: event::CallId, result: claim::DispatchResult) {
+        let ticket = self.plains.get(&call).and_then(|plain| plain.ticket);
+        if let Some(ticket) = ticket {
+            self.work.remove(&ticket);
+            self.dispatcher.give_up(self.now, ticket);
+        }
+        let actions = self.claims.on_ended(self.now, call, result);
+        self.perform_claims(actions);
+    }
+
+    fn end_repeatable(&mut self, call: event::CallId, end: event::PlainEnd) {
+        match end {
+            event::PlainEnd::Answered(answer) => self.answer_plain(call, answer, false),
+            event::PlainEnd::FenceRefused => {
+                let detail = "the endpoint refused the call".to_owned();
+                let outcome = action::Outcome::InDoubt;
+                self.tell_plain(call, action::RefusalKind::Failed, detail, outcome, None);
+            }
+            event::PlainEnd::NotSent { message } => self.retry_plain(call, message, false),
+            event::PlainEnd::Unknown { message } => self.retry_plain(call, message, true),
+        }
+    }
+
+    fn retry_plain(&mut self, call: event::CallId, message: String, may_have_run: bool) {
+        let plain = self.plains.get_mut(&call).expect("the call is held");
+        plain.may_have_run |= may_have_run;
+        let request = plain.request;
+        let due = self.now + BACKOFF_STEP * plain.attempts;
+        if plain.attempts < MAX_ATTEMPTS && due < plain.ends_by {
+            let ticket = plain.ticket.expect("a call that was sent has a ticket");
+            self.delayed.insert((due, ticket));
+            self.note("call.retry", Some(request), message);
+            return;
+        }
+        let outcome = outcome_of_failure(plain);
+        let detail = format!("the service could not be reached: {message}");
+        let wait = Some(Duration::from_secs(1));
+        self.tell_plain(call, action::RefusalKind::Failed, detail, outcome, wait);
+    }
+
+    fn conclude(&mut self, call: event::CallId, conclusion: claim::Conclusion) {
+        match conclusion {
+            claim::Conclusion::Answered { answer, repeated } => {
+                let answer = event::PlainAnswer {
+                    status: answer.status,
+                    content_type: answer.content_type,
+                    body: answer.body,
+                };
+                self.answer_plain(call, answer, repeated);
+            }
+            claim::Conclusion::NotRun { reason, retry_after } => {
+                let kind = match reason {
+                    claim::NotRun::PredecessorUnanswered
+                    | claim::NotRun::PositionPassed
+                    | claim::NotRun::PositionTaken => action::RefusalKind::OutOfSequence,
+                    _ => action::RefusalKind::Unavailable,
+                };
+                let detail = format!("not run: {reason}");
+                self.tell_plain(call, kind, detail, action::Outcome::NotRun, retry_after);
+            }
+            claim::Conclusion::InDoubt { reason } => {
+                let detail = format!("the call may have run: {reason}");
+                let kind = action::RefusalKind::InDoubt;
+                self.tell_plain(call, kind, detail, action::Outcome::InDoubt, None);
+            }
+            claim::Conclusion::Mismatch => {
+                let detail = "the idempotency key was used for another request".to_owned();
+                let kind = action::RefusalKind::KeyReused;
+                self.tell_plain(call, kind, detail, action::Outcome::NotRun, None);
+            }
+            claim::Conclusion::KeyExpired => {
+                let detail = "the idempotency key is past its life".to_owned();
+                let kind = action::RefusalKind::KeyExpired;
+                self.tell_plain(call, kind, detail, action::Outcome::NotRun, None);
+            }
+        }
+    }
+
+    fn answer_plain(&mut self, call: event::CallId, answer: event::PlainAnswer, repeated: bool) {
+        let Some(plain) = self.plains.remove(&call) else { return };
+        self.forget_plain_work(&plain);
+        self.counters.plain_answered += 1;
+        let request = plain.request;
+        let took = self.now.saturating_sub(plain.arrived_at);
+        let detail =
+            format!("status {}{}", answer.status, if repeated { ", recorded" } else { "" });
+        self.note_span("call.answered", Some(request), detail, took);
+        self.answered.insert(self.now, request, plain.organisation, answer.clone());
+        if !plain.is_told {
+            self.act(action::Action::AnswerPlain { call, request, answer, repeated });
+        }
+    }
+
+    fn tell_plain(
+        &mut self,
+        call: event::CallId,
+        kind: action::RefusalKind,
+        detail: String,
+        outcome: action::Outcome,
+        retry_after: Option<Duration>,
+    ) {
+        let Some(plain) = self.plains.remove(&call) else { return };
+        self.forget_plain_work(&plain);
+        match outcome {
+            action::Outcome::NotRun => self.counters.plain_not_run += 1,
+            action::Outcome::InDoubt | action::Outcome::Answered => {
+                self.counters.plain_in_doubt += 1;
+            }
+        }
+        let request = Some(plain.request);
+        self.note("call.not_answered", request, format!("{outcome}: {detail}"));
+        if !plain.is_told {
+            let refusal = action::Refusal { kind, detail, outcome, retry_after, request };
+            self.act(action::Action::Refuse { call, refusal });
+        }
+    }
+
+    fn forget_plain_work(&mut self, plain: &PlainRequest) {
+        let Some(ticket) = plain.ticket else { return };
+        self.work.remove(&ticket);
+        self.delayed.retain(|(_, delayed)| *delayed != ticket);
+        self.dispatcher.give_up(self.now, ticket);
+    }
+
+    /// A claimed call goes on without its caller; a repeatable one is dropped where it waits.
+    pub(crate) fn abandon_plain_call(&mut self, call: event::CallId) {
+        let Some(plain) = self.plains.get_mut(&call) else { return };
+        plain.is_told = true;
+        if plain.is_repeatable && plain.attempt.is_none() {
+            let plain = plain.clone();
+            self.plains.remove(&call);
+            self.forget_plain_work(&plain);
+        }
+    }
+
+    pub(crate) fn tick_claims(&mut self) {
+        let actions = self.claims.tick(self.now, self.wall);
+        self.perform_claims(actions);
+    }
+
+    pub(crate) fn tick_plains(&mut self) {
+        let now = self.now;
+        let late: Vec<event::CallId> = self
+            .plains
+            .iter()
+            .filter(|(_, plain)| plain.is_repeatable && plain.attempt.is_none())
+            .filter(|(_, plain)| now > plain.ends_by)
+            .map(|(call, _)| *call)
+            .collect();
+        for call in late {
+            let outcome = outcome_of_failure(&self.plains[&call]);
+            let detail = "the service did not take the call in time".to_owned();
+            let wait = Some(Duration::from_secs(1));
+            self.tell_plain(call, action::RefusalKind::Overloaded, detail, outcome, wait);
+        }
+        let life = Duration::from_secs(u64::from(self.policy.answer_life_s.max(1)));
+        self.answered.expire(now.saturating_sub(life));
+    }
+}
+
+fn outcome_of_failure(plain: &PlainRequest) -> action::Outcome {
+    if plain.may_have_run { action::Outcome::InDoubt } else { action::Outcome::NotRun }
+}
+
+fn dispatch_result(end: event::PlainEnd) -> claim::DispatchResult {
+    match end {
+        event::PlainEnd::Answered(answer) => claim::DispatchResult::Answered {
+            status: answer.status,
+            content_type: answer.content_type,
+            body: answer.body,
+        },
+        event::PlainEnd::NotSent { .. } => claim::DispatchResult::NotSent,
+        event::PlainEnd::Unknown { .. } => claim::DispatchResult::Unknown,
+        event::PlainEnd::FenceRefused => claim::DispatchResult::FenceRefused,
+    }
+}
+
+fn path_and_query(call: &event::PlainCall) -> String {
+    if call.query.is_empty() { call.path.clone() } else { format!("{}?{}", call.path, call.query) }
+}
--- /dev/null
+++ b/rhubarbrock/src/node_platform.rs
@@ -0,0 +1,343 @@
+//! What a node learns from the platform, and what it appends to the log.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use rhubarbrock_schema::release as schema;
+
+use crate::node::{MAX_BEHIND, Node};
+use crate::{action, claim, defaults, endpoint, event, id, release, snapshot};
+
+/// What an append was for.
+#[derive(Debug, Clone, Copy)]
+enum Purpose {
+    Claims(u64),
+    Snapshot,
+}
+
+/// What is known of the platform.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    appends: BTreeMap<event::AppendId, Purpose>,
+    last_append: event::AppendId,
+    addresses: BTreeMap<id::EndpointId, SocketAddr>,
+    watched: Vec<action::WatchedEndpoint>,
+    /// Topics that could not be read, and since when.
+    unreadable: BTreeMap<event::Topic, Duration>,
+    pub(crate) list_failing_since: Option<Duration>,
+    pub(crate) release_oldest: id::Offset,
+    pub(crate) release_end: id::Offset,
+    pub(crate) behind_since: Option<Duration>,
+    pub(crate) is_fetching: bool,
+    pub(crate) next_fetch: Duration,
+    pub(crate) fetches: u64,
+    /// Own instance's notice, by this node's clock.
+    pub(crate) leave_at: Option<Duration>,
+}
+
+impl View {
+    /// Since when a topic could not be read.
+    pub(crate) fn unreadable_since(&self, topic: event::Topic) -> Option<Duration> {
+        self.unreadable.get(&topic).copied()
+    }
+}
+
+impl Node {
+    pub(crate) fn on_platform(&mut self, event: event::PlatformEvent) {
+        match event {
+            event::PlatformEvent::Records(page) => self.on_records(page),
+            event::PlatformEvent::ReadFailed { topic } => self.on_read_failed(topic),
+            event::PlatformEvent::Appended { append, outcome } => {
+                self.on_appended(append, outcome);
+            }
+            event::PlatformEvent::Instances(list) => self.on_instances(&list),
+            event::PlatformEvent::InstancesFailed => {
+                self.platform.list_failing_since.get_or_insert(self.now);
+            }
+            event::PlatformEvent::Notices(notices) => self.on_notices(&notices),
+        }
+    }
+
+    fn on_records(&mut self, page: event::RecordPage) {
+        if self.platform.unreadable.remove(&page.topic).is_some() {
+            let message = format!("topic {} is readable again", page.topic);
+            self.report(action::LogLevel::Info, "log.available", message);
+        }
+        match page.topic {
+            event::Topic::Release => self.on_release_records(&page),
+            event::Topic::Claims => self.on_claim_records(page),
+            event::Topic::Leases => {}
+        }
+    }
+
+    fn on_read_failed(&mut self, topic: event::Topic) {
+        self.counters.log_read_failures += 1;
+        if self.platform.unreadable.contains_key(&topic) {
+            return;
+        }
+        self.platform.unreadable.insert(topic, self.now);
+        let message = format!("topic {topic} cannot be read");
+        self.report(action::LogLevel::Warning, "log.unavailable", message);
+        if topic == event::Topic::Claims {
+            let actions = self.claims.on_log_state(self.now, false);
+            self.perform_claims(actions);
+        }
+    }
+
+    fn on_claim_records(&mut self, page: event::RecordPage) {
+        let records = page
+            .records
+            .into_iter()
+            .map(|record| claim::Record {
+                offset: record.offset,
+                time_ms: record.time.as_millis() as u64,
+                bytes: record.data,
+            })
+            .collect();
+        let page = claim::Page { records, next: page.next, oldest: page.oldest, end: page.end };
+        let mut actions = self.claims.on_log_state(self.now, true);
+        actions.extend(self.claims.on_records(self.now, page));
+        self.perform_claims(actions);
+    }
+
+    fn on_release_records(&mut self, page: &event::RecordPage) {
+        self.platform.release_oldest = page.oldest;
+        self.platform.release_end = page.end;
+        if page.oldest > self.log.next_offset() {
+            self.log.skip_to(page.oldest);
+        }
+        let before = self.log.version();
+        for record in &page.records {
+            self.apply_release(record);
+        }
+        if self.log.version() != before {
+            self.on_new_release();
+        }
+    }
+
+    fn apply_release(&mut self, record: &event::Record) {
+        match self.log.apply(record.offset, &record.data) {
+            release::Applied::InForce { version } => {
+                self.counters.notes_in_force += 1;
+                let message = format!("version {version} is in force");
+                self.report(action::LogLevel::Info, "release.in_force", message);
+            }
+            release::Applied::Rejected { reason, .. } => {
+                self.counters.notes_rejected += 1;
+                let message = format!("the note at offset {} is not: {reason}", record.offset);
+                self.report(action::LogLevel::Warning, "release.rejected", message);
+            }
+            release::Applied::Ignored(release::Ignored::Malformed) => {
+                self.counters.records_malformed += 1;
+            }
+            release::Applied::Snapshot(release::SnapshotUse::Placed { .. }) => {
+                let message = format!("version {} is in force, by a snapshot", self.log.version());
+                self.report(action::LogLevel::Info, "release.in_force", message);
+            }
+            release::Applied::Held { .. }
+            | release::Applied::Snapshot(_)
+            | release::Applied::Ignored(_) => {}
+        }
+    }
+
+    /// Takes over what the release in force says.
+    pub(crate) fn on_new_release(&mut self) {
+        let Some(release) = self.log.release().cloned() else { return };
+        self.in_force_since = self.wall;
+        self.policy = release.policy.unwrap_or_else(defaults::policy);
+        self.organisations = organisations(&release);
+        self.services = release.services.iter().map(|s| (s.name.clone(), s.clone())).collect();
+        self.dispatcher.on_release(&release);
+        self.tell_release_version(release.version);
+        self.settle_readiness();
+    }
+
+    /// Whether this node knows of a higher version for longer than it may serve without it.
+    pub(crate) fn is_behind(&self) -> bool {
+        let since = self.platform.behind_since;
+        since.is_some_and(|since| self.now > since + MAX_BEHIND)
+    }
+
+    pub(crate) fn settle_readiness(&mut self) {
+        let is_ready = self.log.release().is_some() && !self.is_behind() && !self.is_draining;
+        if is_ready != self.is_ready {
+            self.is_ready = is_ready;
+            self.act(action::Action::SetReady(is_ready));
+            let message = if is_ready { "takes requests" } else { "takes no new requests" };
+            self.report(action::LogLevel::Info, "node.readiness", message.to_owned());
+        }
+    }
+
+    pub(crate) fn append_claims(&mut self, batch: u64, record: Vec<u8>) {
+        self.append(event::Topic::Claims, record, Purpose::Claims(batch));
+    }
+
+    fn append(&mut self, topic: event::Topic, record: Vec<u8>, purpose: Purpose) {
+        self.platform.last_append += 1;
+        let append = self.platform.last_append;
+        self.platform.appends.insert(append, purpose);
+        self.counters.appends += 1;
+        self.act(action::Action::Append { append, topic, record });
+    }
+
+    fn on_appended(&mut self, append: event::AppendId, outcome: event::AppendOutcome) {
+        let Some(purpose) = self.platform.appends.remove(&append) else { return };
+        if !matches!(outcome, event::AppendOutcome::At(_)) {
+            self.counters.append_failures += 1;
+        }
+        if let Purpose::Claims(batch) = purpose {
+            let result = match outcome {
+                event::AppendOutcome::At(offset) => claim::AppendResult::At(offset),
+                event::AppendOutcome::Failed => claim::AppendResult::Failed,
+                event::AppendOutcome::Unknown => claim::AppendResult::Unknown,
+            };
+            let actions = self.claims.on_append_result(self.now, batch, result);
+            self.perform_claims(actions);
+        }
+    }
+
+    fn on_instances(&mut self, list: &event::InstanceList) {
+        self.platform.list_failing_since = None;
+        let endpoints =
+            list.instances.iter().filter(|instance| instance.kind == event::InstanceKind::Endpoint);
+        let listings: Vec<endpoint::Listing> = endpoints.map(listing).collect();
+        for instance in &list.instances {
+            self.platform.addresses.insert(instance.id, instance.address);
+        }
+        let known: Vec<id::EndpointId> =
+            list.instances.iter().map(|instance| instance.id).collect();
+        if self.dispatcher.router.on_list(self.now, list.taken_at, listings) {
+            self.forget_addresses(&known);
+            self.join_listed(list);
+        }
+        self.watch_endpoints();
+    }
+
+    /// Addresses of instances that are gone are kept while an attempt may use them.
+    fn forget_addresses(&mut self, known: &[id::EndpointId]) {
+        let router = &self.dispatcher.router;
+        self.platform
+            .addresses
+            .retain(|id, _| known.contains(id) || router.endpoint(*id).is_some());
+    }
+
+    fn on_notices(&mut self, notices: &[event::Notice]) {
+        for notice in notices {
+            if notice.instance == self.config.instance && notice.instance != 0 {
+                let rest = notice.leave_at.saturating_sub(self.wall);
+                self.platform.leave_at = Some(self.now + rest);
+                self.on_reclaim(rest);
+            } else if self.dispatcher.router.on_notice(self.now, notice.instance) {
+                let message = format!("endpoint {} was given notice", notice.instance);
+                self.report(action::LogLevel::Info, "endpoint.leaving", message);
+            }
+        }
+    }
+
+    /// Address of an endpoint that the router chose.
+    pub(crate) fn endpoint_address(&self, endpoint: id::EndpointId) -> SocketAddr {
+        let unknown = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        self.platform.addresses.get(&endpoint).copied().unwrap_or(unknown)
+    }
+
+    /// Follows the load of the endpoints that the router wants followed.
+    fn watch_endpoints(&mut self) {
+        let router = &self.dispatcher.router;
+        let is_model = |name: &&str| {
+            self.services
+                .get(*name)
+                .is_some_and(|service| service.kind() == schema::ServiceKind::Model)
+        };
+        let followed: Vec<id::EndpointId> = router
+            .services()
+            .filter(is_model)
+            .flat_map(|service| router.followed(service).iter().copied())
+            .collect();
+        let watched: Vec<action::WatchedEndpoint> = followed
+            .into_iter()
+            .map(|endpoint| action::WatchedEndpoint {
+                endpoint,
+                address: self.endpoint_address(endpoint),
+            })
+            .collect();
+        if watched != self.platform.watched {
+            self.platform.watched.clone_from(&watched);
+            self.act(action::Action::Watch { endpoints: watched });
+        }
+    }
+
+    pub(crate) fn on_load(&mut self, report: &event::LoadReport) {
+        let taken = endpoint::LoadReport {
+            sequence: report.sequence,
+            running: report.running,
+            waiting: report.waiting,
+            kv_used_percent: report.kv_used_percent,
+            queued_tokens: report.queued_tokens,
+            leaving: report.leaving,
+            age: Duration::ZERO,
+        };
+        self.dispatcher.router.on_load(self.now, report.endpoint, &taken);
+    }
+
+    pub(crate) fn on_load_failed(&mut self, _endpoint: id::EndpointId) {}
+
+    pub(crate) fn tick_platform(&mut self) {
+        self.settle_readiness();
+        self.write_snapshot();
+    }
+
+    /// Writes a snapshot of the release where it is this node's turn.
+    fn write_snapshot(&mut self) {
+        let live: Vec<id::NodeId> = self
+            .membership
+            .running()
+            .map(|known| known.record.node)
+            .chain([self.config.node])
+            .collect();
+        let view = snapshot::View {
+            node: self.config.node,
+            live: &live,
+            oldest: self.platform.release_oldest,
+            end: self.platform.release_end,
+            wall: self.wall,
+        };
+        if let Some(record) = self.snapshots.due(&self.log, &view, self.now) {
+            self.append(event::Topic::Release, record, Purpose::Snapshot);
+        }
+    }
+}
+
+fn organisations(release: &schema::Release) -> BTreeMap<event::Sha256, String> {
+    let mut by_key = BTreeMap::new();
+    for organisation in &release.organisations {
+        for key in &organisation.key_sha256s {
+            let mut digest: event::Sha256 = [0; 32];
+            if hex::decode_to_slice(key, &mut digest).is_ok() {
+                by_key.insert(digest, organisation.name.clone());
+            }
+        }
+    }
+    by_key
+}
+
+fn listing(instance: &event::Instance) -> endpoint::Listing {
+    endpoint::Listing {
+        endpoint: instance.id,
+        service: instance.service.clone(),
+        data_centre: instance.data_centre.clone(),
+        class: instance.class.clone(),
+        address: instance.address.to_string(),
+        market: match instance.market {
+            event::Market::Reclaimable => endpoint::Market::Reclaimable,
+            event::Market::OnDemand => endpoint::Market::OnDemand,
+        },
+        price_per_hour: 0.0,
+        state: match instance.state {
+            event::InstanceState::Starting => endpoint::ListedState::Starting,
+            event::InstanceState::Live => endpoint::ListedState::Live,
+            event::InstanceState::Leaving => endpoint::ListedState::Leaving,
+            event::InstanceState::Gone => endpoint::ListedState::Gone,
+        },
+    }
+}
--- /dev/null
+++ b/rhubarbrockd/src/daemon.rs
@@ -0,0 +1,167 @@
+//! The daemon as a whole: starts the threads and ends them.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use rhubarbrock::{clock, event, id, node};
+use slog::{Logger, info};
+use tokio::runtime;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::{
+    answer, callers, decisions, endpoints, gate, handlers, observation, peer_client, peer_key,
+    peers, pending, platform, ring, settings, tls,
+};
+
+/// Items that a ring holds.
+const RING_ITEMS: usize = 8_192;
+
+/// Longest time for open connections to end after the node has nothing left to do.
+const CLOSE_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time between looks at what is still open.
+const CLOSE_POLL: Duration = Duration::from_millis(20);
+
+/// Runs a node until it is told to end and nothing is left to do.
+pub fn run(settings: settings::Settings, logger: Logger) -> anyhow::Result<()> {
+    let metrics = PrometheusBuilder::new().install_recorder().context("metrics")?;
+    let acceptor = settings.tls.as_ref().map(tls::acceptor).transpose()?;
+    let listener = callers::bind(settings.caller_address)?;
+    let sockets = peers::bind(settings.peer_address)?;
+    let node_id: id::NodeId = rand::random_range(1..=id::NodeId::MAX);
+    info!(logger, "starting"; "node_id" => format!("{node_id:016x}"),
+        "caller_address" => settings.caller_address.to_string(),
+        "peer_address" => settings.peer_address.to_string());
+
+    let deciding = thread::current();
+    let new_ring = || ring::to_thread::<event::Event>(RING_ITEMS, deciding.clone());
+    let (from_callers, callers_ring) = new_ring();
+    let (from_peers, peers_ring) = new_ring();
+    let (from_endpoints, endpoints_ring) = new_ring();
+    let (from_platform, platform_ring) = new_ring();
+    let (from_signals, signals_ring) = new_ring();
+    let (to_endpoints, endpoint_orders) = ring::to_task(RING_ITEMS);
+    let (to_platform, platform_orders) = ring::to_task(RING_ITEMS);
+    let (to_peers, peer_orders) = ring::to_task(RING_ITEMS);
+
+    let gate = Arc::new(gate::Gate::new(node_id, from_callers.clone()));
+    let answers = Arc::new(answer::Answers::default());
+    let replies = Arc::new(pending::Pending::default());
+    let open_connections = Arc::new(AtomicUsize::new(0));
+    let stopped = Arc::new(AtomicBool::new(false));
+    let (closing, closing_seen) = watch::channel(false);
+    let key = peer_key::PeerKey::new(&settings.peer_key);
+
+    let context = handlers::Context {
+        gate: Arc::clone(&gate),
+        peers: peer_client::PeerClient::new(&key),
+        observation: observation::Observer { events: from_callers, replies: Arc::clone(&replies) },
+        metrics,
+        limits: settings.limits,
+    };
+    let server =
+        callers::Server::new(context, acceptor, closing_seen, Arc::clone(&open_connections));
+    let caller_threads = settings.limits.caller_threads as usize;
+    start("callers", caller_threads, async move {
+        server.serve(tokio::net::TcpListener::from_std(listener)?).await;
+        Ok(())
+    })?;
+    let peers = peers::Peers {
+        events: from_peers,
+        replies: Arc::clone(&replies),
+        client: peer_client::PeerClient::new(&key),
+        key,
+    };
+    start("peers", 1, peers.run(sockets, peer_orders))?;
+    let endpoints = endpoints::Endpoints::new(from_endpoints);
+    start("endpoints", 1, async move {
+        endpoints.run(endpoint_orders).await;
+        Ok(())
+    })?;
+    let platform = platform::Platform::new(&settings.platform_url, from_platform);
+    start("platform", 1, async move {
+        platform.run(platform_orders).await;
+        Ok(())
+    })?;
+    start("signals", 1, forward_signals(from_signals))?;
+
+    let inputs = decisions::Inputs {
+        rings: vec![signals_ring, platform_ring, endpoints_ring, peers_ring, callers_ring],
+    };
+    let outputs = decisions::Outputs {
+        gate,
+        answers,
+        endpoints: to_endpoints,
+        platform: to_platform,
+        peers: to_peers,
+        replies,
+        closing,
+        stopped,
+        logger: logger.clone(),
+    };
+    let node = node::Node::new(node_config(&settings, node_id));
+    decisions::run(node, &clock::SystemClock::new(), inputs, &outputs);
+    wait_for_connections(&open_connections);
+    info!(logger, "stopped"; "open_connections" => open_connections.load(Ordering::Acquire));
+    Ok(())
+}
+
+fn node_config(settings: &settings::Settings, node_id: id::NodeId) -> node::Config {
+    node::Config {
+        node: node_id,
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        region: settings.region.clone(),
+        instance: settings.instance,
+        caller_address: settings.caller_address,
+        peer_address: settings.peer_address,
+        seeds: settings.seeds.clone(),
+        probe_interval: settings.probe_interval,
+        drain_limit: settings.drain_limit,
+        random_seed: rand::random(),
+    }
+}
+
+/// Starts a thread with a runtime of its own.
+fn start(
+    name: &str,
+    workers: usize,
+    duty: impl Future<Output = anyhow::Result<()>> + Send + 'static,
+) -> anyhow::Result<()> {
+    let runtime = if workers == 1 {
+        runtime::Builder::new_current_thread().enable_all().build()?
+    } else {
+        runtime::Builder::new_multi_thread()
+            .worker_threads(workers)
+            .thread_name(name)
+            .enable_all()
+            .build()?
+    };
+    thread::Builder::new().name(name.to_owned()).spawn(move || runtime.block_on(duty))?;
+    Ok(())
+}
+
+async fn forward_signals(events: ring::Sender<event::Event>) -> anyhow::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        events.send(event::Event::Terminate).await;
+    }
+}
+
+/// The answers are complete, but their last bytes may not have left.
+fn wait_for_connections(open_connections: &AtomicUsize) {
+    let started = Instant::now();
+    while open_connections.load(Ordering::Acquire) > 0 && started.elapsed() < CLOSE_LIMIT {
+        thread::sleep(CLOSE_POLL);
+    }
+}
--- /dev/null
+++ b/rhubarbrockd/src/decisions.rs
@@ -0,0 +1,185 @@
+//! The decision thread: takes events out of the rings, lets the node decide, carries out actions.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use rhubarbrock::{action, clock, event, node};
+use slog::{error, info, warn};
+use tokio::sync::watch;
+
+use crate::{answer, endpoints, gate, peers, platform, relay, ring};
+
+/// Events taken from one ring before the next ring has its turn.
+const BURST_EVENTS: usize = 64;
+
+/// Time between ticks.
+const TICK_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Time between publications of the counters.
+const PUBLISH_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Rings that lead to the decision thread.
+pub struct Inputs {
+    /// Rings, one for each thread that has something to tell.
+    pub rings: Vec<ring::Receiver<event::Event>>,
+}
+
+/// Where actions go.
+pub struct Outputs {
+    /// Calls that wait.
+    pub gate: Arc<gate::Gate>,
+    /// Answers.
+    pub answers: Arc<answer::Answers>,
+    /// The endpoints' thread.
+    pub endpoints: ring::Sender<endpoints::Order>,
+    /// The platform's thread.
+    pub platform: ring::Sender<platform::Order>,
+    /// The peers' thread.
+    pub peers: ring::Sender<peers::Order>,
+    /// Questions from other nodes and observers.
+    pub replies: Arc<peers::Replies>,
+    /// Set once connections shall end.
+    pub closing: watch::Sender<bool>,
+    /// Set once nothing is left to do.
+    pub stopped: Arc<AtomicBool>,
+    /// Log.
+    pub logger: slog::Logger,
+}
+
+/// Runs until the node has stopped.
+pub fn run(mut node: node::Node, clock: &dyn clock::Clock, mut inputs: Inputs, outputs: &Outputs) {
+    let mut next_tick = clock.now();
+    let mut next_publish = clock.now();
+    perform_all(outputs, node.start(clock.now(), clock.wall()));
+    while !outputs.stopped.load(Ordering::Acquire) {
+        let mut is_busy = false;
+        for ring in &mut inputs.rings {
+            for _ in 0..BURST_EVENTS {
+                let Some(event) = ring.pop() else { break };
+                is_busy = true;
+                perform_all(outputs, node.handle(clock.now(), clock.wall(), event));
+            }
+        }
+        let now = clock.now();
+        if now >= next_tick {
+            next_tick = now + TICK_INTERVAL;
+            perform_all(outputs, node.tick(now, clock.wall()));
+        }
+        if now >= next_publish {
+            next_publish = now + PUBLISH_INTERVAL;
+            publish(&node);
+        }
+        if !is_busy {
+            thread::park_timeout(next_tick.saturating_sub(clock.now()));
+        }
+    }
+}
+
+fn publish(node: &node::Node) {
+    node.counters().each(|name, value| metrics::counter!(name).absolute(value));
+    node.gauges(clock_free_gauge);
+}
+
+fn clock_free_gauge(name: &'static str, value: f64) {
+    metrics::gauge!(name).set(value);
+}
+
+fn perform_all(outputs: &Outputs, actions: Vec<action::Action>) {
+    for action in actions {
+        perform(outputs, action);
+    }
+}
+
+fn perform(outputs: &Outputs, action: action::Action) {
+    match action {
+        action::Action::Refuse { call, refusal } => {
+            outputs.gate.answer(call, gate::Verdict::Refuse(refusal));
+        }
+        action::Action::Attach { call, request, offset } => {
+            if let Some(answer) = outputs.answers.get(request) {
+                outputs.gate.answer(call, gate::Verdict::Attach(answer, offset));
+            }
+        }
+        action::Action::Relay { call, request, organisation, offset, nodes } => {
+            let relay = gate::Relay { request, organisation, offset, nodes };
+            outputs.gate.answer(call, gate::Verdict::Relay(relay));
+        }
+        action::Action::AnswerPlain { call, request, answer, repeated } => {
+            let verdict = gate::PlainVerdict { request, answer, repeated };
+            outputs.gate.answer(call, gate::Verdict::Plain(verdict));
+        }
+        action::Action::AnswerServices { call, services } => {
+            outputs.gate.answer(call, gate::Verdict::Services(services));
+        }
+        action::Action::OpenAnswer(open) => open_answer(outputs, &open),
+        action::Action::FinishAnswer { request, finish } => {
+            if let Some(answer) = outputs.answers.get(request) {
+                answer.finish(finish);
+            }
+        }
+        action::Action::DropAnswer { request } => outputs.answers.remove(request),
+        action::Action::StartModel(attempt) => start_model(outputs, attempt),
+        action::Action::StartPlain(attempt) => {
+            outputs.endpoints.send_blocking(endpoints::Order::Plain(attempt));
+        }
+        action::Action::Cancel { attempt } => {
+            outputs.endpoints.send_blocking(endpoints::Order::Cancel(attempt));
+        }
+        action::Action::Watch { endpoints } => {
+            outputs.endpoints.send_blocking(endpoints::Order::Watch(endpoints));
+        }
+        action::Action::Append { append, topic, record } => {
+            outputs.platform.send_blocking(platform::Order::Append { append, topic, record });
+        }
+        action::Action::ReadFrom { topic, offset } => {
+            outputs.platform.send_blocking(platform::Order::ReadFrom { topic, offset });
+        }
+        action::Action::SendDatagram { to, datagram } => {
+            // Datagrams may be lost; a full ring loses them too.
+            let _ = outputs.peers.push(peers::Order::Datagram { to, datagram });
+        }
+        action::Action::SendStore { to, call } => {
+            outputs.peers.send_blocking(peers::Order::Store { to, call });
+        }
+        action::Action::SendProgress { to, call } => {
+            outputs.peers.send_blocking(peers::Order::Progress { to, call });
+        }
+        action::Action::FetchRelease { to } => {
+            outputs.peers.send_blocking(peers::Order::Release { to });
+        }
+        action::Action::Reply { rpc, reply } => {
+            outputs.replies.answer(rpc, reply);
+        }
+        action::Action::Log { level, message } => log(&outputs.logger, level, &message),
+        action::Action::SetReady(ready) => outputs.gate.set_ready(ready),
+        action::Action::CloseIdle => {
+            outputs.gate.close();
+            let _ = outputs.closing.send(true);
+        }
+        action::Action::Stop => outputs.stopped.store(true, Ordering::Release),
+    }
+}
+
+fn open_answer(outputs: &Outputs, open: &action::OpenAnswer) {
+    if let Some(head) = relay::head(&open.record) {
+        let record = &open.record;
+        let answer = answer::Answer::new(head, &record.text, &record.chunk_bytes, record.tokens);
+        outputs.answers.insert(answer);
+    }
+}
+
+fn start_model(outputs: &Outputs, attempt: Box<action::ModelAttempt>) {
+    if let Some(answer) = outputs.answers.get(attempt.request) {
+        outputs.endpoints.send_blocking(endpoints::Order::Model(attempt, answer));
+    }
+}
+
+fn log(logger: &slog::Logger, level: action::LogLevel, message: &str) {
+    match level {
+        action::LogLevel::Info => info!(logger, "{}", message),
+        action::LogLevel::Warning => warn!(logger, "{}", message),
+        action::LogLevel::Error => error!(logger, "{}", message),
+    }
+}
--- /dev/null
+++ b/rhubarbrockd/src/endpoints.rs
@@ -0,0 +1,239 @@
+//! The endpoints' thread: attempts at model engines and plain services, and load probes.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use rhubarbrock::{action, event, id};
+use serde::Deserialize;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+
+use crate::{answer, engine, http_client, ring};
+
+/// Time in which an endpoint must take a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Time between load probes of one endpoint.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time in which an endpoint must answer a load probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Largest load report, in bytes.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
+/// Largest answer of a plain service, in bytes.
+const MAX_PLAIN_BYTES: usize = 8 * 1024 * 1024;
+
+/// Time in which a cancelled attempt is told to its engine.
+const CANCEL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// What the decision thread asks of the endpoints' thread.
+#[derive(Debug)]
+pub enum Order {
+    /// Send a request to a model engine.
+    Model(Box<action::ModelAttempt>, Arc<answer::Answer>),
+    /// Call a plain service.
+    Plain(Box<action::PlainAttempt>),
+    /// Cancel a model attempt.
+    Cancel(id::AttemptId),
+    /// Probe these engines for load from now on.
+    Watch(Vec<action::WatchedEndpoint>),
+}
+
+/// An engine's load report.
+#[derive(Debug, Deserialize)]
+struct Load {
+    sequence: u64,
+    #[serde(default)]
+    running: u32,
+    #[serde(default)]
+    waiting: u32,
+    #[serde(default)]
+    kv_used_percent: u32,
+    #[serde(default)]
+    queued_tokens: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// What the endpoints' thread works with.
+#[derive(Clone)]
+pub struct Endpoints {
+    events: ring::Sender<event::Event>,
+    client: http_client::HttpClient,
+    running: Arc<Mutex<HashMap<id::AttemptId, oneshot::Sender<()>>>>,
+}
+
+impl Endpoints {
+    /// Puts events into `events`.
+    pub fn new(events: ring::Sender<event::Event>) -> Endpoints {
+        Endpoints {
+            events,
+            client: http_client::new(CONNECT_TIMEOUT),
+            running: Arc::new(Mutex::new(HashMap::new())),
+        }
+    }
+
+    /// Runs orders until the process ends.
+    pub async fn run(self, mut orders: ring::TaskReceiver<Order>) {
+        let mut probes = JoinSet::new();
+        while let Some(order) = orders.recv().await {
+            match order {
+                Order::Model(attempt, answer) => {
+                    let (cancel, cancelled) = oneshot::channel();
+                    self.lock().insert(attempt.attempt, cancel);
+                    tokio::spawn(self.clone().model(attempt, answer, cancelled));
+                }
+                Order::Plain(attempt) => {
+                    tokio::spawn(self.clone().plain(attempt));
+                }
+                Order::Cancel(attempt) => {
+                    let running = self.lock().remove(&attempt);
+                    if let Some(cancel) = running {
+                        let _ = cancel.send(());
+                    }
+                }
+                Order::Watch(endpoints) => {
+                    probes.abort_all();
+                    for endpoint in endpoints {
+                        probes.spawn(self.clone().probe(endpoint));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn model(
+        self,
+        attempt: Box<action::ModelAttempt>,
+        answer: Arc<answer::Answer>,
+        cancelled: oneshot::Receiver<()>,
+    ) {
+        let end = tokio::select! {
+            end = engine::run(&self.client, &attempt, &answer, &self.events) => end,
+            Ok(()) = cancelled => event::ModelEnd::Cancelled,
+        };
+        self.lock().remove(&attempt.attempt);
+        engine::mark(attempt.attempt, &answer, &self.events).await;
+        let is_cancelled = end == event::ModelEnd::Cancelled;
+        self.tell(event::EndpointEvent::ModelEnded { attempt: attempt.attempt, end }).await;
+        if is_cancelled {
+            self.cancel_at_engine(&attempt).await;
+        }
+    }
+
+    /// The dropped connection cancels as well; this also covers a proxy in between.
+    async fn cancel_at_engine(&self, attempt: &action::ModelAttempt) {
+        let url = format!("http://{}/v1/attempts/{}", attempt.address, attempt.attempt);
+        if let Ok(request) = http::Request::delete(url).body(Full::new(Bytes::new())) {
+            let _ =
+                http_client::call(&self.client, request, CANCEL_TIMEOUT, MAX_REPORT_BYTES).await;
+        }
+    }
+
+    async fn plain(self, attempt: Box<action::PlainAttempt>) {
+        let number = attempt.attempt;
+        let end = match plain_request(*attempt) {
+            Ok(call) => self.plain_call(call).await,
+            Err(error) => event::PlainEnd::NotSent { message: error.to_string() },
+        };
+        self.tell(event::EndpointEvent::PlainEnded { attempt: number, end }).await;
+    }
+
+    async fn plain_call(&self, call: PreparedCall) -> event::PlainEnd {
+        let called =
+            http_client::call(&self.client, call.request, call.timeout, MAX_PLAIN_BYTES).await;
+        match called {
+            Ok(answer) if is_fence_refusal(&answer) => event::PlainEnd::FenceRefused,
+            Ok(answer) => event::PlainEnd::Answered(event::PlainAnswer {
+                status: answer.status.as_u16(),
+                content_type: content_type(&answer.headers),
+                body: answer.body.to_vec(),
+            }),
+            Err(http_client::CallError::NotSent { message }) => {
+                event::PlainEnd::NotSent { message }
+            }
+            Err(http_client::CallError::Unknown { message }) => {
+                event::PlainEnd::Unknown { message }
+            }
+        }
+    }
+
+    async fn probe(self, endpoint: action::WatchedEndpoint) {
+        let mut interval = tokio::time::interval(PROBE_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            let told = self.probe_once(endpoint).await;
+            // A later report makes up for a lost one.
+            let _ = self.events.push(event::Event::Endpoint(told));
+        }
+    }
+
+    async fn probe_once(&self, endpoint: action::WatchedEndpoint) -> event::EndpointEvent {
+        let failed = event::EndpointEvent::LoadFailed { endpoint: endpoint.endpoint };
+        let url = format!("http://{}/load", endpoint.address);
+        let Ok(request) = http::Request::get(url).body(Full::new(Bytes::new())) else {
+            return failed;
+        };
+        let called =
+            http_client::call(&self.client, request, PROBE_TIMEOUT, MAX_REPORT_BYTES).await;
+        let Ok(answer) = called else { return failed };
+        let Ok(load) = serde_json::from_slice::<Load>(&answer.body) else { return failed };
+        event::EndpointEvent::Load(event::LoadReport {
+            endpoint: endpoint.endpoint,
+            sequence: load.sequence,
+            running: load.running,
+            waiting: load.waiting,
+            kv_used_percent: load.kv_used_percent,
+            queued_tokens: load.queued_tokens,
+            leaving: load.leaving,
+        })
+    }
+
+    async fn tell(&self, told: event::EndpointEvent) {
+        self.events.send(event::Event::Endpoint(told)).await;
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<id::AttemptId, oneshot::Sender<()>>> {
+        self.running.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+struct PreparedCall {
+    request: http::Request<Full<Bytes>>,
+    timeout: Duration,
+}
+
+fn plain_request(attempt: action::PlainAttempt) -> Result<PreparedCall, http::Error> {
+    let url = format!("http://{}/{}", attempt.address, attempt.path_and_query);
+    let mut builder = http::Request::builder()
+        .method(attempt.method.as_str())
+        .uri(url)
+        .header("x-request-id", attempt.request.to_string());
+    if !attempt.content_type.is_empty() {
+        builder = builder.header(http::header::CONTENT_TYPE, attempt.content_type);
+    }
+    if let Some(key) = attempt.idempotency_key {
+        builder = builder.header("idempotency-key", key);
+    }
+    if let Some(fence) = attempt.fence {
+        builder = builder.header("x-fencing-number", fence);
+    }
+    let request = builder.body(Full::new(Bytes::from(attempt.body)))?;
+    Ok(PreparedCall { request, timeout: attempt.timeout })
+}
+
+fn is_fence_refusal(answer: &http_client::Answer) -> bool {
+    let is_refused = answer.headers.get("x-fencing").is_some_and(|value| value == "refused");
+    answer.status == http::StatusCode::CONFLICT && is_refused
+}
+
+fn content_type(headers: &http::HeaderMap) -> String {
+    let value = headers.get(http::header::CONTENT_TYPE);
+    value.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned()
+}
--- /dev/null
+++ b/rhubarbrockd/src/engine.rs
@@ -0,0 +1,270 @@
+//! One attempt at a model engine: the streamed request and what comes back.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use rhubarbrock::{action, event};
+use rhubarbrock_schema::peer;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{answer, event_stream, http_client, ring};
+
+/// Longest error body read, in bytes.
+const MAX_ERROR_BYTES: usize = 64 * 1024;
+
+/// Most time between marks while text comes.
+const MARK_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Header that names the attempt.
+const ATTEMPT_HEADER: &str = "x-attempt";
+
+/// One chunk of an engine's stream.
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<ChunkChoice>,
+    #[serde(default)]
+    usage: Option<ChunkUsage>,
+    #[serde(default)]
+    error: Option<Value>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChunkChoice {
+    #[serde(default)]
+    delta: Option<ChunkDelta>,
+    #[serde(default)]
+    text: Option<String>,
+    #[serde(default)]
+    finish_reason: Option<String>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ChunkDelta {
+    #[serde(default)]
+    content: Option<String>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct ChunkUsage {
+    #[serde(default)]
+    prompt_tokens: u32,
+    #[serde(default)]
+    completion_tokens: u32,
+    #[serde(default)]
+    prompt_tokens_details: Option<UsageDetails>,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+struct UsageDetails {
+    #[serde(default)]
+    cached_tokens: u32,
+}
+
+/// Runs the attempt; what happens on the way goes into `events`.
+pub async fn run(
+    client: &http_client::HttpClient,
+    attempt: &action::ModelAttempt,
+    answer: &Arc<answer::Answer>,
+    events: &ring::Sender<event::Event>,
+) -> event::ModelEnd {
+    let (text, tokens) = answer.take_over(attempt.attempt);
+    let request = match request(attempt, &text, tokens) {
+        Ok(request) => request,
+        Err(message) => return event::ModelEnd::Rejected { status: 400, message },
+    };
+    let sent = tokio::time::timeout(attempt.idle_timeout, http_client::send(client, request));
+    let response = match sent.await {
+        Ok(Ok(response)) => response,
+        Ok(Err(http_client::CallError::NotSent { message })) => {
+            return event::ModelEnd::NotSent { message };
+        }
+        Ok(Err(http_client::CallError::Unknown { message })) => {
+            return event::ModelEnd::Broken { message };
+        }
+        Err(_) => return event::ModelEnd::Broken { message: "no answer in time".to_owned() },
+    };
+    if !response.status().is_success() {
+        return refused(response).await;
+    }
+    let mut run = Run {
+        attempt,
+        answer,
+        events,
+        finish: peer::Finish::default(),
+        is_first: true,
+        resumed_tokens: tokens,
+        streamed_tokens: 0,
+        last_mark: Instant::now(),
+    };
+    run.read(response.into_body()).await
+}
+
+/// The caller's body with what the system sets.
+fn request(
+    attempt: &action::ModelAttempt,
+    text: &str,
+    tokens: u32,
+) -> Result<http::Request<Full<Bytes>>, String> {
+    let mut body: Value = serde_json::from_str(&attempt.body).map_err(|error| error.to_string())?;
+    let fields = body.as_object_mut().ok_or("the body is no JSON object")?;
+    fields.insert("model".to_owned(), json!(attempt.model));
+    fields.insert("stream".to_owned(), json!(true));
+    fields.insert("stream_options".to_owned(), json!({ "include_usage": true }));
+    fields.insert("priority".to_owned(), json!(attempt.priority));
+    fields.remove("deadline_ms");
+    fields.remove("max_completion_tokens");
+    fields.insert("max_tokens".to_owned(), json!(attempt.max_tokens));
+    if tokens > 0 {
+        fields.insert("resume_text".to_owned(), json!(text));
+        fields.insert("resume_tokens".to_owned(), json!(tokens));
+    }
+    if let Some(source) = &attempt.kv_source {
+        let value = json!({ "address": source.address.to_string(), "handle": source.handle });
+        fields.insert("kv_source".to_owned(), value);
+    }
+    http::Request::post(format!("http://{}{}", attempt.address, attempt.path))
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .header(ATTEMPT_HEADER, attempt.attempt.to_string())
+        .body(Full::new(Bytes::from(body.to_string())))
+        .map_err(|error| error.to_string())
+}
+
+async fn refused(response: http::Response<Incoming>) -> event::ModelEnd {
+    let status = response.status();
+    let retry_after = retry_after(response.headers());
+    if status.is_server_error() || status == http::StatusCode::TOO_MANY_REQUESTS {
+        return event::ModelEnd::Refused { retry_after };
+    }
+    let body = Limited::new(response.into_body(), MAX_ERROR_BYTES).collect().await;
+    let bytes = body.map(http_body_util::Collected::to_bytes).unwrap_or_default();
+    let message = String::from_utf8_lossy(&bytes).into_owned();
+    event::ModelEnd::Rejected { status: status.as_u16(), message }
+}
+
+/// `Retry-After` in seconds, if there is one.
+pub fn retry_after(headers: &http::HeaderMap) -> Option<Duration> {
+    let value = headers.get(http::header::RETRY_AFTER)?;
+    let seconds: u64 = value.to_str().ok()?.trim().parse().ok()?;
+    Some(Duration::from_secs(seconds))
+}
+
+struct Run<'a> {
+    attempt: &'a action::ModelAttempt,
+    answer: &'a Arc<answer::Answer>,
+    events: &'a ring::Sender<event::Event>,
+    finish: peer::Finish,
+    is_first: bool,
+    resumed_tokens: u32,
+    streamed_tokens: u32,
+    last_mark: Instant,
+}
+
+impl Run<'_> {
+    async fn read(&mut self, mut body: Incoming) -> event::ModelEnd {
+        let mut parser = event_stream::Parser::default();
+        loop {
+            let frame = tokio::time::timeout(self.attempt.idle_timeout, body.frame()).await;
+            let bytes = match frame {
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+                Ok(Some(Err(error))) => return broken(error.to_string()),
+                Ok(None) => return broken("the stream ended early".to_owned()),
+                Err(_) => return broken("the stream stood still".to_owned()),
+            };
+            let Ok(messages) = parser.push(&bytes) else {
+                return broken("the stream holds an event that is too large".to_owned());
+            };
+            for message in messages {
+                if let Some(end) = self.message(&message).await {
+                    return end;
+                }
+            }
+        }
+    }
+
+    async fn message(&mut self, message: &str) -> Option<event::ModelEnd> {
+        if message == "[DONE]" {
+            return Some(self.done());
+        }
+        let chunk: Chunk = match serde_json::from_str(message) {
+            Ok(chunk) => chunk,
+            Err(error) => return Some(broken(format!("the stream holds no chunk: {error}"))),
+        };
+        if let Some(error) = chunk.error {
+            return Some(broken(error.to_string()));
+        }
+        if let Some(usage) = chunk.usage {
+            self.finish.prompt_tokens = usage.prompt_tokens;
+            self.finish.completion_tokens = usage.completion_tokens;
+            self.finish.cached_tokens =
+                usage.prompt_tokens_details.map_or(0, |details| details.cached_tokens);
+        }
+        for choice in chunk.choices {
+            if let Some(end) = self.choice(choice).await {
+                return Some(end);
+            }
+        }
+        None
+    }
+
+    async fn choice(&mut self, choice: ChunkChoice) -> Option<event::ModelEnd> {
+        let text = choice.delta.and_then(|delta| delta.content).or(choice.text);
+        if let Some(text) = text.filter(|text| !text.is_empty()) {
+            self.streamed_tokens += 1;
+            if !self.answer.append(self.attempt.attempt, &text, 1) {
+                return Some(event::ModelEnd::Cancelled);
+            }
+            self.after_text().await;
+        }
+        if let Some(reason) = choice.finish_reason {
+            self.finish.reason = reason;
+        }
+        None
+    }
+
+    async fn after_text(&mut self) {
+        if self.is_first {
+            self.is_first = false;
+            let told = event::EndpointEvent::FirstToken { attempt: self.attempt.attempt };
+            self.events.send(event::Event::Endpoint(told)).await;
+        }
+        if self.last_mark.elapsed() >= MARK_INTERVAL {
+            self.last_mark = Instant::now();
+            mark(self.attempt.attempt, self.answer, self.events).await;
+        }
+    }
+
+    fn done(&mut self) -> event::ModelEnd {
+        if self.finish.reason.is_empty() {
+            return broken("the stream ended without a reason".to_owned());
+        }
+        self.finish.completion_tokens = self.resumed_tokens + self.streamed_tokens;
+        event::ModelEnd::Finished(self.finish.clone())
+    }
+}
+
+/// Tells the decisions of the text since the last mark.
+pub async fn mark(
+    attempt: rhubarbrock::id::AttemptId,
+    answer: &answer::Answer,
+    events: &ring::Sender<event::Event>,
+) {
+    if let Some(mark) = answer.take_mark() {
+        let told = event::EndpointEvent::Progress {
+            attempt,
+            offset: mark.offset,
+            text: mark.text,
+            chunk_bytes: mark.chunk_bytes,
+            tokens: mark.tokens,
+        };
+        events.send(event::Event::Endpoint(told)).await;
+    }
+}
+
+fn broken(message: String) -> event::ModelEnd {
+    event::ModelEnd::Broken { message }
+}
--- /dev/null
+++ b/rhubarbrockd/src/event_stream.rs
@@ -0,0 +1,66 @@
+//! Server-sent events as they come from an engine.
+
+use derive_more::{Display, Error};
+
+/// Largest event, in bytes.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
+/// An event is larger than 1 MiB.
+#[derive(Debug, Display, Error, PartialEq, Eq)]
+#[display("event too large")]
+pub struct EventTooLarge;
+
+/// Cuts a byte stream into the `data` of its events.
+#[derive(Debug, Default)]
+pub struct Parser {
+    buffer: Vec<u8>,
+}
+
+impl Parser {
+    /// Takes in bytes; gives the data of each event that ends in them.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<String>, EventTooLarge> {
+        self.buffer.extend_from_slice(bytes);
+        let mut messages = Vec::new();
+        let mut start = 0;
+        while let Some(end) = event_end(&self.buffer[start..]) {
+            messages.extend(data(&self.buffer[start..start + end.text_bytes]));
+            start += end.whole_bytes;
+        }
+        self.buffer.drain(..start);
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLarge);
+        }
+        Ok(messages)
+    }
+}
+
+struct EventEnd {
+    text_bytes: usize,
+    whole_bytes: usize,
+}
+
+/// An event ends at an empty line; lines end in LF or CRLF.
+fn event_end(bytes: &[u8]) -> Option<EventEnd> {
+    let mut line_start = 0;
+    while let Some(length) = bytes[line_start..].iter().position(|byte| *byte == b'\n') {
+        let line = &bytes[line_start..line_start + length];
+        let next = line_start + length + 1;
+        if line.is_empty() || line == b"\r" {
+            return Some(EventEnd { text_bytes: line_start, whole_bytes: next });
+        }
+        line_start = next;
+    }
+    None
+}
+
+/// The `data` lines of an event, joined.
+fn data(event: &[u8]) -> Option<String> {
+    let text = String::from_utf8_lossy(event);
+    let mut lines = Vec::new();
+    for line in text.lines() {
+        if let Some(rest) = line.strip_prefix("data:") {
+            lines.push(rest.strip_prefix(' ').unwrap_or(rest));
+        }
+    }
+    if lines.is_empty() { None } else { Some(lines.join("\n")) }
+}
--- /dev/null
+++ b/rhubarbrockd/src/handlers.rs
@@ -0,0 +1,389 @@
+//! What callers can ask for, by route.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use gotham::helpers::http::Body;
+use gotham::router::Router;
+use gotham::router::builder::{DefineSingleRoute, DrawRoutes, build_simple_router};
+use gotham::state::{FromState, State, StateData};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri, header};
+use http_body_util::{BodyExt, Limited};
+use rhubarbrock::{action, event, id};
+use sha2::{Digest, Sha256};
+
+use crate::{body, gate, observation, openai, peer_client, problem, relay, settings, streaming};
+
+/// Prefix of plain services' paths.
+const SERVICES_PREFIX: &str = "/v1/services/";
+
+/// Header with a caller's idempotency key.
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// Header by which a caller says that it may have sent the key before.
+const REPETITION: &str = "idempotency-key-repeated";
+
+/// Header with the time at which the caller made the key, in milliseconds since the Unix epoch.
+const KEY_CREATED: &str = "idempotency-key-created-ms";
+
+/// Longest idempotency key or sequence name, in bytes.
+const MAX_KEY_BYTES: usize = 255;
+
+/// Header that names a sequence of calls.
+const SEQUENCE: &str = "x-sequence";
+
+/// Header with a call's position in its sequence, from 1.
+const SEQUENCE_POSITION: &str = "x-sequence-position";
+
+/// Header with the time a caller allows until its answer starts, in milliseconds.
+const DEADLINE: &str = "x-deadline-ms";
+
+/// Most time line events in one page.
+const TIMELINE_PAGE_EVENTS: usize = 1_000;
+
+/// What handlers work with; put into each request's state.
+#[derive(Clone)]
+pub struct Context {
+    /// Way to the decisions.
+    pub gate: Arc<gate::Gate>,
+    /// Calls to other nodes.
+    pub peers: peer_client::PeerClient,
+    /// Status and time line of this node.
+    pub observation: observation::Observer,
+    /// Metrics in Prometheus's text format.
+    pub metrics: metrics_exporter_prometheus::PrometheusHandle,
+    /// Limits on requests.
+    pub limits: settings::Limits,
+}
+
+impl StateData for Context {}
+
+type Answered = Result<Response<Body>, action::Refusal>;
+
+/// The routes of a node.
+pub fn router() -> Router {
+    build_simple_router(|route| {
+        route.post(openai::CHAT_PATH).to_async(|state| run(state, Route::Model));
+        route.post(openai::COMPLETIONS_PATH).to_async(|state| run(state, Route::Model));
+        route.get("/v1/models").to_async(|state| run(state, Route::Models));
+        route.get("/v1/requests/:request").to_async(|state| run(state, Route::Find));
+        let methods = vec![Method::GET, Method::POST, Method::PUT, Method::PATCH, Method::DELETE];
+        route
+            .request(methods, "/v1/services/:service/*")
+            .to_async(|state| run(state, Route::Plain));
+        route.get("/v1/status").to_async(|state| run(state, Route::Status));
+        route.get("/v1/timeline").to_async(|state| run(state, Route::Timeline));
+        route.get("/healthz").to_async(|state| run(state, Route::Health));
+        route.get("/readyz").to_async(|state| run(state, Route::Ready));
+        route.get("/metrics").to_async(|state| run(state, Route::Metrics));
+    })
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Route {
+    Model,
+    Models,
+    Find,
+    Plain,
+    Status,
+    Timeline,
+    Health,
+    Ready,
+    Metrics,
+}
+
+async fn run(mut state: State, route: Route) -> gotham::handler::HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let request = context.gate.new_request();
+    let answered = match route {
+        Route::Model => model(&mut state, &context, request).await,
+        Route::Models => models(&mut state, &context).await,
+        Route::Find => find(&mut state, &context).await,
+        Route::Plain => plain(&mut state, &context, request).await,
+        Route::Status => status(&context).await,
+        Route::Timeline => timeline(&mut state, &context).await,
+        Route::Health => Ok(text("ok\n")),
+        Route::Ready => Ok(ready(&context)),
+        Route::Metrics => Ok(text(context.metrics.render())),
+    };
+    let mut response = answered.unwrap_or_else(|refusal| problem::response(&refusal));
+    let headers = response.headers_mut();
+    if !headers.contains_key(problem::REQUEST_ID_HEADER) {
+        headers.insert(problem::REQUEST_ID_HEADER, request_header(request));
+    }
+    if context.gate.is_closing() && http::Version::borrow_from(&state) != &http::Version::HTTP_2 {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    Ok((state, response))
+}
+
+async fn model(state: &mut State, context: &Context, request: id::RequestId) -> Answered {
+    let key_sha256 = bearer_sha256(HeaderMap::borrow_from(state))?;
+    let deadline = duration_header(HeaderMap::borrow_from(state), DEADLINE)?;
+    let path = Uri::borrow_from(state).path().to_owned();
+    let bytes = read_body(state, context).await?;
+    let parsed = openai::parse(&path, &bytes);
+    let mut call =
+        parsed.map_err(|fault| problem::not_run(action::RefusalKind::BadRequest, fault))?;
+    call.key_sha256 = key_sha256;
+    call.deadline = call.deadline.or(deadline);
+    call.secret = request.secret;
+    let verdict = context.gate.ask(|number| {
+        call.call = number;
+        event::CallerEvent::Model(Box::new(call))
+    });
+    answer_verdict(context, verdict.await, Reading::Whole).await
+}
+
+async fn models(state: &mut State, context: &Context) -> Answered {
+    let key_sha256 = bearer_sha256(HeaderMap::borrow_from(state))?;
+    let verdict = context.gate.ask(|call| event::CallerEvent::Services { call, key_sha256 });
+    answer_verdict(context, verdict.await, Reading::Whole).await
+}
+
+async fn find(state: &mut State, context: &Context) -> Answered {
+    let headers = HeaderMap::borrow_from(state);
+    let key_sha256 = bearer_sha256(headers)?;
+    let text = Uri::borrow_from(state).path().rsplit('/').next().unwrap_or_default();
+    let not_found =
+        |_| problem::not_run(action::RefusalKind::NotFound, "there is no request of this id");
+    let request: id::RequestId = text.parse().map_err(not_found)?;
+    let offset = last_event_offset(headers, request)?;
+    let verdict = context.gate.ask(|call| {
+        event::CallerEvent::Find(event::FindCall { call, key_sha256, request, offset })
+    });
+    answer_verdict(context, verdict.await, reading(headers)).await
+}
+
+async fn plain(state: &mut State, context: &Context, request: id::RequestId) -> Answered {
+    let headers = HeaderMap::borrow_from(state);
+    let key_sha256 = bearer_sha256(headers)?;
+    let idempotency_key = key_header(headers, IDEMPOTENCY_KEY)?;
+    let is_repetition = text_header(headers, REPETITION).is_some_and(|value| value == "true");
+    let key_created = duration_header(headers, KEY_CREATED)?;
+    let sequence = sequence_position(headers)?;
+    let deadline = duration_header(headers, DEADLINE)?;
+    let content_type = text_header(headers, header::CONTENT_TYPE.as_str()).unwrap_or_default();
+    let method = Method::borrow_from(state).as_str().to_owned();
+    let uri = Uri::borrow_from(state);
+    let rest = uri.path().strip_prefix(SERVICES_PREFIX).unwrap_or_default();
+    let (service, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let (service, path) = (service.to_owned(), path.to_owned());
+    let query = uri.query().unwrap_or_default().to_owned();
+    let bytes = read_body(state, context).await?;
+    let mut call = event::PlainCall {
+        call: 0,
+        key_sha256,
+        request_sha256: request_sha256(&[&method, &service, &path, &query], &bytes),
+        service,
+        method,
+        path,
+        query,
+        content_type,
+        body: bytes.to_vec(),
+        idempotency_key,
+        is_repetition,
+        key_created,
+        sequence,
+        deadline,
+        secret: request.secret,
+    };
+    let verdict = context.gate.ask(|number| {
+        call.call = number;
+        event::CallerEvent::Plain(Box::new(call))
+    });
+    answer_verdict(context, verdict.await, Reading::Whole).await
+}
+
+/// How the caller wants to read an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reading {
+    /// As it was asked for first.
+    Whole,
+    /// As server-sent events in any case.
+    Events,
+}
+
+async fn answer_verdict(context: &Context, verdict: gate::Verdict, reading: Reading) -> Answered {
+    match verdict {
+        gate::Verdict::Refuse(refusal) => Err(refusal),
+        gate::Verdict::Attach(answer, offset) => {
+            if answer.head.streamed || reading == Reading::Events {
+                Ok(streaming::events(Arc::clone(&context.gate), answer, offset))
+            } else {
+                streaming::whole(&answer).await
+            }
+        }
+        gate::Verdict::Relay(found) => {
+            relay::answer(&context.peers, &found, reading == Reading::Events).await
+        }
+        gate::Verdict::Plain(found) => Ok(plain_response(found)),
+        gate::Verdict::Services(services) => Ok(json(openai::models(&services))),
+    }
+}
+
+fn plain_response(found: gate::PlainVerdict) -> Response<Body> {
+    let mut response = Response::new(body::full(found.answer.body));
+    *response.status_mut() =
+        StatusCode::from_u16(found.answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let headers = response.headers_mut();
+    if let Ok(content_type) = HeaderValue::from_str(&found.answer.content_type)
+        && !content_type.is_empty()
+    {
+        headers.insert(header::CONTENT_TYPE, content_type);
+    }
+    headers.insert(problem::REQUEST_ID_HEADER, request_header(found.request));
+    headers.insert("x-outcome", HeaderValue::from_static("answered"));
+    if found.repeated {
+        headers.insert("idempotent-replayed", HeaderValue::from_static("true"));
+    }
+    response
+}
+
+async fn status(context: &Context) -> Answered {
+    let status = context.observation.status().await.ok_or_else(stopped)?;
+    Ok(json(serde_json::to_vec(&status).unwrap_or_default()))
+}
+
+async fn timeline(state: &mut State, context: &Context) -> Answered {
+    let query = Uri::borrow_from(state).query().unwrap_or_default();
+    let after = query
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("after="))
+        .map_or(Ok(0), str::parse)
+        .map_err(|_| problem::not_run(action::RefusalKind::BadRequest, "`after` is no number"))?;
+    let page =
+        context.observation.timeline(after, TIMELINE_PAGE_EVENTS).await.ok_or_else(stopped)?;
+    Ok(json(serde_json::to_vec(&page).unwrap_or_default()))
+}
+
+fn stopped() -> action::Refusal {
+    problem::not_run(action::RefusalKind::Unavailable, "this node is stopping")
+}
+
+fn ready(context: &Context) -> Response<Body> {
+    if context.gate.is_ready() {
+        return text("ready\n");
+    }
+    let mut response = text("not ready\n");
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response
+}
+
+async fn read_body(state: &mut State, context: &Context) -> Result<Bytes, action::Refusal> {
+    let limit_bytes = context.limits.max_body_bytes as usize;
+    let limited = Limited::new(Body::take_from(state), limit_bytes);
+    match tokio::time::timeout(context.limits.read_timeout, limited.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(problem::not_run(
+            action::RefusalKind::TooLarge,
+            format!("the body is larger than {limit_bytes} bytes"),
+        )),
+        Ok(Err(_)) => Err(problem::not_run(
+            action::RefusalKind::BadRequest,
+            "the body could not be read to its end",
+        )),
+        Err(_) => {
+            Err(problem::not_run(action::RefusalKind::Timeout, "the body did not come in time"))
+        }
+    }
+}
+
+fn bearer_sha256(headers: &HeaderMap) -> Result<event::Sha256, action::Refusal> {
+    let value = text_header(headers, header::AUTHORIZATION.as_str()).unwrap_or_default();
+    let (scheme, key) = value.split_once(' ').unwrap_or_default();
+    if !scheme.eq_ignore_ascii_case("bearer") || key.trim().is_empty() {
+        return Err(problem::not_run(
+            action::RefusalKind::Unauthorized,
+            "a key is wanted as `Authorization: Bearer KEY`",
+        ));
+    }
+    Ok(Sha256::digest(key.trim()).into())
+}
+
+fn request_sha256(parts: &[&str], bytes: &[u8]) -> event::Sha256 {
+    let mut hasher = Sha256::new();
+    for part in parts {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.update(bytes);
+    hasher.finalize().into()
+}
+
+fn text_header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name).and_then(|value| value.to_str().ok()).map(str::to_owned)
+}
+
+fn bad_header(name: &str, wanted: &str) -> action::Refusal {
+    problem::not_run(action::RefusalKind::BadRequest, format!("header {name} must be {wanted}"))
+}
+
+fn key_header(headers: &HeaderMap, name: &str) -> Result<Option<String>, action::Refusal> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    let text = value.to_str().unwrap_or_default();
+    if text.is_empty() || text.len() > MAX_KEY_BYTES {
+        return Err(bad_header(name, "1 to 255 visible ASCII characters"));
+    }
+    Ok(Some(text.to_owned()))
+}
+
+fn sequence_position(
+    headers: &HeaderMap,
+) -> Result<Option<event::SequencePosition>, action::Refusal> {
+    let sequence = key_header(headers, SEQUENCE)?;
+    let position = text_header(headers, SEQUENCE_POSITION);
+    match (sequence, position) {
+        (None, None) => Ok(None),
+        (Some(sequence), Some(position)) => match position.parse() {
+            Ok(position) if position > 0 => {
+                Ok(Some(event::SequencePosition { sequence, position }))
+            }
+            _ => Err(bad_header(SEQUENCE_POSITION, "a whole number from 1")),
+        },
+        (Some(_), None) => Err(bad_header(SEQUENCE_POSITION, "given with x-sequence")),
+        (None, Some(_)) => Err(bad_header(SEQUENCE, "given with x-sequence-position")),
+    }
+}
+
+fn duration_header(headers: &HeaderMap, name: &str) -> Result<Option<Duration>, action::Refusal> {
+    let Some(text) = text_header(headers, name) else { return Ok(None) };
+    let parsed: Result<u64, _> = text.parse();
+    let millis = parsed.map_err(|_| bad_header(name, "a whole number of milliseconds"))?;
+    Ok(Some(Duration::from_millis(millis)))
+}
+
+/// Byte offset named by `Last-Event-ID`, 0 without one.
+fn last_event_offset(headers: &HeaderMap, request: id::RequestId) -> Result<u64, action::Refusal> {
+    let Some(last) = text_header(headers, "last-event-id") else { return Ok(0) };
+    let fault = || bad_header("Last-Event-ID", "the id of an event of this request");
+    let (id, offset) = last.split_once(':').ok_or_else(fault)?;
+    if id != request.to_string() {
+        return Err(fault());
+    }
+    offset.parse().map_err(|_| fault())
+}
+
+fn reading(headers: &HeaderMap) -> Reading {
+    let accept = text_header(headers, header::ACCEPT.as_str()).unwrap_or_default();
+    if accept.contains(streaming::EVENTS_TYPE) { Reading::Events } else { Reading::Whole }
+}
+
+fn request_header(request: id::RequestId) -> HeaderValue {
+    HeaderValue::from_str(&request.to_string()).unwrap_or(HeaderValue::from_static("invalid"))
+}
+
+fn text(text: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(body::full(text));
+    let value = HeaderValue::from_static("text/plain; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
+
+fn json(bytes: Vec<u8>) -> Response<Body> {
+    let mut response = Response::new(body::full(bytes));
+    let value = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, value);
+    response
+}
--- /dev/null
+++ b/rhubarbrockd/src/http_client.rs
@@ -0,0 +1,108 @@
+//! HTTP client towards endpoints and the platform.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::{self, Client};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+
+/// Idle connections kept to one address.
+const MAX_IDLE_CONNECTIONS: usize = 256;
+
+/// How long a connection is kept without use.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A client that keeps connections.
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Why a call has no answer.
+#[derive(Debug, Display, Error)]
+pub enum CallError {
+    /// No byte of the request can have been read by the other side.
+    #[display("not sent: {message}")]
+    NotSent {
+        /// Why.
+        message: String,
+    },
+    /// The request may have been read.
+    #[display("no answer: {message}")]
+    Unknown {
+        /// Why.
+        message: String,
+    },
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: http::StatusCode,
+    /// Headers.
+    pub headers: http::HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// A client; `connect_timeout` bounds the TCP handshake.
+pub fn new(connect_timeout: Duration) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_connect_timeout(Some(connect_timeout));
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(MAX_IDLE_CONNECTIONS)
+        .retry_canceled_requests(false)
+        .build(connector)
+}
+
+/// Sends a request; the answer's body follows.
+pub async fn send(
+    client: &HttpClient,
+    request: http::Request<Full<Bytes>>,
+) -> Result<http::Response<hyper::body::Incoming>, CallError> {
+    client.request(request).await.map_err(call_error)
+}
+
+/// Sends a request and reads the whole answer, at most `limit_bytes` of body.
+pub async fn call(
+    client: &HttpClient,
+    request: http::Request<Full<Bytes>>,
+    timeout: Duration,
+    limit_bytes: usize,
+) -> Result<Answer, CallError> {
+    let whole = async {
+        let (parts, body) = send(client, request).await?.into_parts();
+        let collected = Limited::new(body, limit_bytes)
+            .collect()
+            .await
+            .map_err(|error| CallError::Unknown { message: error.to_string() })?;
+        let body = collected.to_bytes();
+        Ok(Answer { status: parts.status, headers: parts.headers, body })
+    };
+    match tokio::time::timeout(timeout, whole).await {
+        Ok(answered) => answered,
+        Err(_) => Err(CallError::Unknown {
+            message: format!("no whole answer in {} ms", timeout.as_millis()),
+        }),
+    }
+}
+
+/// Only a failure to connect is sure to have sent nothing.
+fn call_error(error: legacy::Error) -> CallError {
+    let message = describe(&error);
+    if error.is_connect() { CallError::NotSent { message } } else { CallError::Unknown { message } }
+}
+
+fn describe(error: &dyn std::error::Error) -> String {
+    let mut text = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        text = format!("{text}: {cause}");
+        source = cause.source();
+    }
+    text
+}
--- a/rhubarbrockd/src/main.rs
+++ b/rhubarbrockd/src/main.rs
@@ -1,2 +1,36 @@
-//! Placeholder.
-fn main() {}
+//! `rhubarbrockd`: one node of rhubarbrock.
+
+use std::process::ExitCode;
+
+use rhubarbrockd::{daemon, logger, settings};
+
+/// Exit code for wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+/// Exit code for a failure to start or run.
+const EXIT_FAILURE: u8 = 1;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let settings = match settings::load(&arguments, std::env::vars()) {
+        Ok(settings::Request::Run(settings)) => *settings,
+        Ok(settings::Request::Print(text)) => {
+            println!("{}", text.trim_end());
+            return ExitCode::SUCCESS;
+        }
+        Err(faults) => {
+            for fault in faults.0 {
+                eprintln!("rhubarbrockd: {fault}");
+            }
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    let logger = logger::new(settings.log, &settings.name);
+    match daemon::run(settings, logger) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("rhubarbrockd: {error:#}");
+            ExitCode::from(EXIT_FAILURE)
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbrockd/src/peers.rs
@@ -0,0 +1,259 @@
+//! The peers' thread: calls from and to other nodes, and datagrams.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use anyhow::Context;
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use jsonrpsee::core::{RpcResult, async_trait};
+use jsonrpsee::server::{self, HttpBody};
+use jsonrpsee::types::ErrorObjectOwned;
+use prost::Message;
+use rhubarbrock::{action, event};
+use rhubarbrock_schema::peer;
+use tokio::net::{TcpListener, UdpSocket};
+use tower::Service;
+
+use crate::peer_api::{self, PeerServer};
+use crate::{peer_client, peer_key, pending, ring};
+
+/// Open connections from other nodes.
+const MAX_CONNECTIONS: u32 = 1_024;
+
+/// Largest datagram read, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 2_048;
+
+/// JSON-RPC error code where the decision thread can't answer.
+const UNAVAILABLE_CODE: i32 = -32_000;
+
+/// What the decision thread asks of the peers' thread.
+#[derive(Debug)]
+pub enum Order {
+    /// Send a datagram.
+    Datagram {
+        /// Receiver.
+        to: SocketAddr,
+        /// Datagram.
+        datagram: Box<peer::Datagram>,
+    },
+    /// Call `custody_store`.
+    Store {
+        /// Receiver.
+        to: action::PeerAddress,
+        /// Call.
+        call: peer::StoreCall,
+    },
+    /// Call `custody_progress`.
+    Progress {
+        /// Receiver.
+        to: action::PeerAddress,
+        /// Call.
+        call: peer::ProgressCall,
+    },
+    /// Call `release_fetch`.
+    Release {
+        /// Receiver.
+        to: action::PeerAddress,
+    },
+}
+
+/// Questions from other nodes that wait for the decision thread.
+pub type Replies = pending::Pending<event::Reply>;
+
+/// Sockets of the peers' address.
+pub struct Sockets {
+    listener: std::net::TcpListener,
+    socket: std::net::UdpSocket,
+}
+
+/// Binds the peers' address for TCP and UDP.
+pub fn bind(address: SocketAddr) -> anyhow::Result<Sockets> {
+    let why = || format!("cannot listen on {address} (--peer-address)");
+    let listener = std::net::TcpListener::bind(address).with_context(why)?;
+    listener.set_nonblocking(true)?;
+    let socket = std::net::UdpSocket::bind(address).with_context(why)?;
+    socket.set_nonblocking(true)?;
+    Ok(Sockets { listener, socket })
+}
+
+/// What the peers' thread works with.
+#[derive(Clone)]
+pub struct Peers {
+    /// Way to the decisions.
+    pub events: ring::Sender<event::Event>,
+    /// Questions that wait for the decisions.
+    pub replies: Arc<Replies>,
+    /// Shared key.
+    pub key: peer_key::PeerKey,
+    /// Calls to other nodes.
+    pub client: peer_client::PeerClient,
+}
+
+impl Peers {
+    /// Serves until the process ends.
+    pub async fn run(
+        self,
+        sockets: Sockets,
+        orders: ring::TaskReceiver<Order>,
+    ) -> anyhow::Result<()> {
+        let listener = TcpListener::from_std(sockets.listener)?;
+        let socket = Arc::new(UdpSocket::from_std(sockets.socket)?);
+        tokio::spawn(self.clone().receive_datagrams(Arc::clone(&socket)));
+        tokio::spawn(self.clone().serve_calls(listener));
+        self.run_orders(orders, socket).await;
+        Ok(())
+    }
+
+    async fn receive_datagrams(self, socket: Arc<UdpSocket>) {
+        let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        loop {
+            let Ok((length, from)) = socket.recv_from(&mut buffer).await else { continue };
+            let opened = self.key.open(&buffer[..length]);
+            let Some(datagram) = opened.and_then(|bytes| peer::Datagram::decode(bytes).ok()) else {
+                metrics::counter!("rhubarbrock_datagrams_refused_total").increment(1);
+                continue;
+            };
+            metrics::counter!("rhubarbrock_datagram_received_bytes_total").increment(length as u64);
+            let datagram = Box::new(datagram);
+            // Datagrams may be lost; a full ring loses them too.
+            let _ =
+                self.events.push(event::Event::Peer(event::PeerEvent::Datagram { from, datagram }));
+        }
+    }
+
+    async fn serve_calls(self, listener: TcpListener) {
+        let (stop, _server) = server::stop_channel();
+        let config = server::ServerConfig::builder()
+            .max_request_body_size(peer_client::MAX_MESSAGE_BYTES)
+            .max_response_body_size(peer_client::MAX_MESSAGE_BYTES)
+            .max_connections(MAX_CONNECTIONS)
+            .http_only()
+            .build();
+        let builder = server::Server::builder().set_config(config).to_service_builder();
+        let key = self.key.clone();
+        let methods = server::Methods::from(self.into_rpc());
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let service = builder.clone().build(methods.clone(), stop.clone());
+            let key = key.clone();
+            let checked = tower::service_fn(move |request: Request<Incoming>| {
+                let mut service = service.clone();
+                let is_known = has_token(&key, &request);
+                async move { if is_known { service.call(request).await } else { Ok(unauthorized()) } }
+            });
+            tokio::spawn(server::serve_with_graceful_shutdown(
+                stream,
+                checked,
+                stop.clone().shutdown(),
+            ));
+        }
+    }
+
+    async fn run_orders(self, mut orders: ring::TaskReceiver<Order>, socket: Arc<UdpSocket>) {
+        while let Some(order) = orders.recv().await {
+            match order {
+                Order::Datagram { to, datagram } => {
+                    let sealed = self.key.seal(&datagram.encode_to_vec());
+                    metrics::counter!("rhubarbrock_datagram_sent_bytes_total")
+                        .increment(sealed.len() as u64);
+                    let _ = socket.send_to(&sealed, to).await;
+                }
+                Order::Store { to, call } => {
+                    tokio::spawn(self.clone().store(to, call));
+                }
+                Order::Progress { to, call } => {
+                    tokio::spawn(self.clone().progress(to, call));
+                }
+                Order::Release { to } => {
+                    tokio::spawn(self.clone().release(to));
+                }
+            }
+        }
+    }
+
+    async fn store(self, to: action::PeerAddress, call: peer::StoreCall) {
+        let requests = call.records.iter().filter_map(|r| r.request.parse().ok()).collect();
+        let reply = self.client.store(to.address, call).await.ok();
+        self.tell(event::PeerEvent::StoreReplied { to: to.node, requests, reply }).await;
+    }
+
+    async fn progress(self, to: action::PeerAddress, call: peer::ProgressCall) {
+        let reply = self.client.progress(to.address, call).await.ok();
+        self.tell(event::PeerEvent::ProgressReplied { to: to.node, reply }).await;
+    }
+
+    async fn release(self, to: action::PeerAddress) {
+        let reply = self.client.release(to.address).await.ok().map(Box::new);
+        self.tell(event::PeerEvent::ReleaseFetched { reply }).await;
+    }
+
+    async fn tell(&self, told: event::PeerEvent) {
+        self.events.send(event::Event::Peer(told)).await;
+    }
+
+    async fn ask(
+        &self,
+        question: impl FnOnce(event::RpcId) -> event::PeerEvent,
+    ) -> RpcResult<event::Reply> {
+        let (rpc, reply) = self.replies.open();
+        if self.events.push(event::Event::Peer(question(rpc))).is_err() {
+            self.replies.close(rpc);
+            return Err(unavailable());
+        }
+        reply.await.map_err(|_| unavailable())
+    }
+}
+
+fn has_token(key: &peer_key::PeerKey, request: &Request<Incoming>) -> bool {
+    request
+        .headers()
+        .get(peer_api::TOKEN_HEADER)
+        .is_some_and(|token| key.is_token(token.as_bytes()))
+}
+
+fn unauthorized() -> Response<HttpBody> {
+    metrics::counter!("rhubarbrock_peer_calls_refused_total").increment(1);
+    let mut response = Response::new(HttpBody::empty());
+    *response.status_mut() = StatusCode::UNAUTHORIZED;
+    response
+}
+
+fn unavailable() -> ErrorObjectOwned {
+    ErrorObjectOwned::owned(UNAVAILABLE_CODE, "the node cannot answer now", None::<()>)
+}
+
+#[async_trait]
+impl PeerServer for Peers {
+    async fn custody_store(&self, call: peer::StoreCall) -> RpcResult<peer::StoreReply> {
+        match self.ask(|rpc| event::PeerEvent::Store { rpc, call }).await? {
+            event::Reply::Store(reply) => Ok(reply),
+            _ => Err(unavailable()),
+        }
+    }
+
+    async fn custody_progress(&self, call: peer::ProgressCall) -> RpcResult<peer::ProgressReply> {
+        match self.ask(|rpc| event::PeerEvent::Progress { rpc, call }).await? {
+            event::Reply::Progress(reply) => Ok(reply),
+            _ => Err(unavailable()),
+        }
+    }
+
+    async fn request_find(&self, call: peer::FindCall) -> RpcResult<peer::FindReply> {
+        match self.ask(|rpc| event::PeerEvent::Find { rpc, call }).await? {
+            event::Reply::Find(reply) => Ok(*reply),
+            _ => Err(unavailable()),
+        }
+    }
+
+    async fn release_fetch(&self) -> RpcResult<peer::ReleaseReply> {
+        match self.ask(|rpc| event::PeerEvent::ReleaseFetch { rpc }).await? {
+            event::Reply::Release(reply) => Ok(*reply),
+            _ => Err(unavailable()),
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbrockd/src/platform.rs
@@ -0,0 +1,362 @@
+//! The platform's thread: the log, the list of instances, notices.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::Full;
+use rhubarbrock::{event, id};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use crate::{http_client, ring};
+
+/// Time in which the platform must take a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Time in which the platform must answer, beyond what it waits on purpose.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// How long one read of the log or of notices waits for something new.
+const LONG_POLL: Duration = Duration::from_millis(5_000);
+
+/// Time between readings of the list.
+const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Pause after a failed call.
+const FAILURE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Records asked for at once.
+const PAGE_RECORDS: u32 = 500;
+
+/// Largest answer of the platform, in bytes.
+const MAX_ANSWER_BYTES: usize = 32 * 1024 * 1024;
+
+/// What the decision thread asks of the platform's thread.
+#[derive(Debug)]
+pub enum Order {
+    /// Append a record.
+    Append {
+        /// To name it in the event.
+        append: event::AppendId,
+        /// Topic.
+        topic: event::Topic,
+        /// Record.
+        record: Vec<u8>,
+    },
+    /// Read a topic from this offset on.
+    ReadFrom {
+        /// Topic.
+        topic: event::Topic,
+        /// Offset.
+        offset: id::Offset,
+    },
+}
+
+/// What the platform's thread works with.
+#[derive(Clone)]
+pub struct Platform {
+    /// Base URL.
+    pub url: String,
+    /// Way to the decisions.
+    pub events: ring::Sender<event::Event>,
+    client: http_client::HttpClient,
+}
+
+#[derive(Serialize)]
+struct AppendBody {
+    records: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct AppendAnswer {
+    first_offset: id::Offset,
+}
+
+#[derive(Deserialize)]
+struct ReadAnswer {
+    records: Vec<ReadRecord>,
+    next: id::Offset,
+    oldest: id::Offset,
+    end: id::Offset,
+}
+
+#[derive(Deserialize)]
+struct ReadRecord {
+    offset: id::Offset,
+    #[serde(default)]
+    time_ms: u64,
+    data: String,
+}
+
+#[derive(Deserialize)]
+struct ListAnswer {
+    taken_at_ms: u64,
+    instances: Vec<ListInstance>,
+}
+
+#[derive(Deserialize)]
+struct ListInstance {
+    id: id::InstanceId,
+    kind: String,
+    data_centre: String,
+    #[serde(default)]
+    class: String,
+    #[serde(default)]
+    market: String,
+    state: String,
+    #[serde(default)]
+    service: String,
+    address: String,
+    #[serde(default)]
+    peer_address: String,
+}
+
+#[derive(Deserialize)]
+struct NoticesAnswer {
+    notices: Vec<NoticeEntry>,
+    next: u64,
+}
+
+#[derive(Deserialize)]
+struct NoticeEntry {
+    instance: id::InstanceId,
+    leave_at_ms: u64,
+}
+
+/// Topics and where they are read from; a change starts the reading anew.
+struct Positions {
+    by_topic: [(event::Topic, watch::Sender<Option<id::Offset>>); 3],
+}
+
+impl Platform {
+    /// A platform at this base URL.
+    pub fn new(url: &str, events: ring::Sender<event::Event>) -> Platform {
+        Platform { url: url.to_owned(), events, client: http_client::new(CONNECT_TIMEOUT) }
+    }
+
+    /// Runs orders until the process ends.
+    pub async fn run(self, mut orders: ring::TaskReceiver<Order>) {
+        let topics = [event::Topic::Release, event::Topic::Claims, event::Topic::Leases];
+        let positions =
+            Positions { by_topic: topics.map(|topic| (topic, watch::Sender::new(None))) };
+        for (topic, position) in &positions.by_topic {
+            tokio::spawn(self.clone().read_topic(*topic, position.subscribe()));
+        }
+        tokio::spawn(self.clone().read_list());
+        tokio::spawn(self.clone().read_notices());
+        while let Some(order) = orders.recv().await {
+            match order {
+                Order::Append { append, topic, record } => {
+                    tokio::spawn(self.clone().append(append, topic, record));
+                }
+                Order::ReadFrom { topic, offset } => positions.set(topic, offset),
+            }
+        }
+    }
+
+    async fn append(self, append: event::AppendId, topic: event::Topic, record: Vec<u8>) {
+        let body = AppendBody { records: vec![STANDARD.encode(record)] };
+        let bytes = serde_json::to_vec(&body).unwrap_or_default();
+        let request = http::Request::post(format!("{}/log/{topic}/records", self.url))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::from(bytes)));
+        let outcome = match request {
+            Ok(request) => self.append_call(request).await,
+            Err(_) => event::AppendOutcome::Failed,
+        };
+        self.tell(event::PlatformEvent::Appended { append, outcome }).await;
+    }
+
+    async fn append_call(&self, request: http::Request<Full<Bytes>>) -> event::AppendOutcome {
+        let called = http_client::call(&self.client, request, CALL_TIMEOUT, MAX_ANSWER_BYTES).await;
+        match called {
+            Ok(answer) if answer.status.is_success() => {
+                match serde_json::from_slice::<AppendAnswer>(&answer.body) {
+                    Ok(answer) => event::AppendOutcome::At(answer.first_offset),
+                    Err(_) => event::AppendOutcome::Unknown,
+                }
+            }
+            // Refused for the rate or for the request itself: it took no effect.
+            Ok(answer) if answer.status.is_client_error() => event::AppendOutcome::Failed,
+            Ok(_) => event::AppendOutcome::Unknown,
+            Err(http_client::CallError::NotSent { .. }) => event::AppendOutcome::Failed,
+            Err(http_client::CallError::Unknown { .. }) => event::AppendOutcome::Unknown,
+        }
+    }
+
+    async fn read_topic(
+        self,
+        topic: event::Topic,
+        mut position: watch::Receiver<Option<id::Offset>>,
+    ) {
+        let mut next: Option<id::Offset> = None;
+        // The first page says where the topic ends, so it must not wait for a record.
+        let mut wait = Duration::ZERO;
+        loop {
+            if position.has_changed().unwrap_or(false) || next.is_none() {
+                if next.is_none() && position.wait_for(Option::is_some).await.is_err() {
+                    return;
+                }
+                next = *position.borrow_and_update();
+            }
+            let Some(from) = next else { continue };
+            let url = format!(
+                "{}/log/{topic}/records?from={from}&max={PAGE_RECORDS}&wait_ms={}",
+                self.url,
+                wait.as_millis()
+            );
+            let read = tokio::select! {
+                read = self.get::<ReadAnswer>(&url) => read,
+                _ = position.changed() => {
+                    position.mark_changed();
+                    continue;
+                }
+            };
+            match read {
+                Some(answer) => {
+                    wait = LONG_POLL;
+                    next = Some(answer.next.max(answer.oldest));
+                    let page = page(topic, answer);
+                    self.tell(event::PlatformEvent::Records(page)).await;
+                }
+                None => {
+                    self.tell(event::PlatformEvent::ReadFailed { topic }).await;
+                    tokio::time::sleep(FAILURE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn read_list(self) {
+        let url = format!("{}/instances", self.url);
+        loop {
+            let told = match self.get::<ListAnswer>(&url).await {
+                Some(answer) => event::PlatformEvent::Instances(list(answer)),
+                None => event::PlatformEvent::InstancesFailed,
+            };
+            self.tell(told).await;
+            tokio::time::sleep(LIST_INTERVAL).await;
+        }
+    }
+
+    async fn read_notices(self) {
+        let mut after = 0;
+        loop {
+            let url = format!(
+                "{}/cloud/notices?after={after}&wait_ms={}",
+                self.url,
+                LONG_POLL.as_millis()
+            );
+            match self.get::<NoticesAnswer>(&url).await {
+                Some(answer) => {
+                    after = answer.next;
+                    if !answer.notices.is_empty() {
+                        let notices = answer.notices.iter().map(notice).collect();
+                        self.tell(event::PlatformEvent::Notices(notices)).await;
+                    }
+                }
+                None => tokio::time::sleep(FAILURE_PAUSE).await,
+            }
+        }
+    }
+
+    /// The answer's JSON, also of a 410, which tells the oldest offset kept.
+    async fn get<T: DeserializeOwned>(&self, url: &str) -> Option<T> {
+        let request = http::Request::get(url).body(Full::new(Bytes::new())).ok()?;
+        let timeout = LONG_POLL + CALL_TIMEOUT;
+        let answer =
+            http_client::call(&self.client, request, timeout, MAX_ANSWER_BYTES).await.ok()?;
+        if !answer.status.is_success() && answer.status != http::StatusCode::GONE {
+            return None;
+        }
+        serde_json::from_slice(&answer.body).ok()
+    }
+
+    async fn tell(&self, told: event::PlatformEvent) {
+        self.events.send(event::Event::Platform(told)).await;
+    }
+}
+
+impl Positions {
+    fn set(&self, topic: event::Topic, offset: id::Offset) {
+        for (known, position) in &self.by_topic {
+            if *known == topic {
+                position.send_replace(Some(offset));
+            }
+        }
+    }
+}
+
+fn page(topic: event::Topic, answer: ReadAnswer) -> event::RecordPage {
+    let records = answer
+        .records
+        .into_iter()
+        .map(|record| event::Record {
+            offset: record.offset,
+            time: Duration::from_millis(record.time_ms),
+            // A record that is no base64 is as wrong as any other wrong record.
+            data: STANDARD.decode(record.data).unwrap_or_default(),
+        })
+        .collect();
+    event::RecordPage {
+        topic,
+        records,
+        next: answer.next.max(answer.oldest),
+        oldest: answer.oldest,
+        end: answer.end,
+    }
+}
+
+fn list(answer: ListAnswer) -> event::InstanceList {
+    let taken_at = Duration::from_millis(answer.taken_at_ms);
+    let instances = answer.instances.iter().filter_map(instance).collect();
+    event::InstanceList { taken_at, instances }
+}
+
+/// An entry that can't be understood is left out and counted.
+fn instance(entry: &ListInstance) -> Option<event::Instance> {
+    let understood = understand(entry);
+    if understood.is_none() {
+        metrics::counter!("rhubarbrock_list_entries_refused_total").increment(1);
+    }
+    understood
+}
+
+fn understand(entry: &ListInstance) -> Option<event::Instance> {
+    let kind = match entry.kind.as_str() {
+        "entry" => event::InstanceKind::Entry,
+        "endpoint" | "desk" => event::InstanceKind::Endpoint,
+        _ => return None,
+    };
+    let state = match entry.state.as_str() {
+        "starting" => event::InstanceState::Starting,
+        "live" => event::InstanceState::Live,
+        "leaving" => event::InstanceState::Leaving,
+        "gone" => event::InstanceState::Gone,
+        _ => return None,
+    };
+    let market = match entry.market.as_str() {
+        "reclaimable" => event::Market::Reclaimable,
+        _ => event::Market::OnDemand,
+    };
+    let address: SocketAddr = entry.address.parse().ok()?;
+    Some(event::Instance {
+        id: entry.id,
+        kind,
+        data_centre: entry.data_centre.clone(),
+        class: entry.class.clone(),
+        market,
+        state,
+        service: entry.service.clone(),
+        address,
+        peer_address: entry.peer_address.parse().ok(),
+    })
+}
+
+fn notice(entry: &NoticeEntry) -> event::Notice {
+    event::Notice { instance: entry.instance, leave_at: Duration::from_millis(entry.leave_at_ms) }
+}
--- /dev/null
+++ b/rhubarbrockd/src/settings.rs
@@ -0,0 +1,367 @@
+//! Settings of the daemon: flags over environment variables, checked as a whole.
+//!
+//! Each field of the schema's `Settings` is a flag (`--peer-key`) and a
+//! variable (`RHUBARBROCK_PEER_KEY`); the flag goes first.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use argh::FromArgs;
+use rhubarbrock::id;
+use rhubarbrock_schema::settings;
+
+/// Prefix of the environment variables.
+pub const VARIABLE_PREFIX: &str = "RHUBARBROCK_";
+
+/// Variables with the prefix that belong to the command-line tool.
+const TOOL_VARIABLES: [&str; 3] =
+    ["RHUBARBROCK_PLATFORM", "RHUBARBROCK_NODES", "RHUBARBROCK_AUTHOR"];
+
+/// The flag that may stand more than once; its variable holds a list with commas.
+const REPEATED_FLAG: &str = "--seed";
+
+/// Shortest shared key between nodes, in bytes.
+const MIN_PEER_KEY_BYTES: usize = 16;
+
+/// Key between nodes where all of them are on loopback and none is set.
+const LOOPBACK_PEER_KEY: &str = "loopback-only-peer-key";
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Request {
+    /// Run with these settings.
+    Run(Box<Settings>),
+    /// Print this and end well.
+    Print(String),
+}
+
+/// Faults of the settings, one line each.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Faults(pub Vec<String>);
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Name of the node.
+    pub name: String,
+    /// Data centre it runs in.
+    pub data_centre: String,
+    /// Region of that data centre, empty where not said.
+    pub region: String,
+    /// Platform's number of the instance, 0 for none.
+    pub instance: id::InstanceId,
+    /// Where callers are served.
+    pub caller_address: SocketAddr,
+    /// Where other nodes are served.
+    pub peer_address: SocketAddr,
+    /// Base URL of the platform.
+    pub platform_url: String,
+    /// Nodes to join by.
+    pub seeds: Vec<SocketAddr>,
+    /// Key shared by all nodes.
+    pub peer_key: String,
+    /// TLS for callers.
+    pub tls: Option<TlsFiles>,
+    /// Logs.
+    pub log: LogSettings,
+    /// Limits on callers.
+    pub limits: Limits,
+    /// Time between membership probes.
+    pub probe_interval: Duration,
+    /// Longest drain, where it is not the release note's.
+    pub drain_limit: Option<Duration>,
+    /// File for the recorded inputs of the decisions.
+    pub record_trace: Option<PathBuf>,
+}
+
+/// PEM files for TLS.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TlsFiles {
+    /// Certificate chain.
+    pub certificate: PathBuf,
+    /// Private key.
+    pub key: PathBuf,
+}
+
+/// How logs are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Whether lines are JSON.
+    pub json: bool,
+    /// Lowest level written.
+    pub level: slog::Level,
+}
+
+/// Limits on what callers may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Largest request head, in bytes.
+    pub max_header_bytes: u32,
+    /// Largest request body, in bytes.
+    pub max_body_bytes: u32,
+    /// Time in which a caller must send its request.
+    pub read_timeout: Duration,
+    /// Open connections.
+    pub max_connections: u32,
+    /// Streams on one HTTP/2 connection.
+    pub max_streams: u32,
+    /// Threads that serve callers.
+    pub caller_threads: u32,
+}
+
+const DEFAULT_LIMITS: Limits = Limits {
+    max_header_bytes: 16 * 1024,
+    max_body_bytes: 4 * 1024 * 1024,
+    read_timeout: Duration::from_secs(10),
+    max_connections: 4_096,
+    max_streams: 128,
+    caller_threads: 1,
+};
+
+/// Reads the settings from the process's arguments and variables.
+pub fn load(
+    arguments: &[String],
+    variables: impl Iterator<Item = (String, String)>,
+) -> Result<Request, Faults> {
+    if arguments.iter().any(|argument| argument == "--version") {
+        return Ok(Request::Print(concat!("rhubarbrockd ", env!("CARGO_PKG_VERSION")).to_owned()));
+    }
+    let all = with_variables(arguments, variables);
+    let texts: Vec<&str> = all.iter().map(String::as_str).collect();
+    match settings::Settings::from_args(&["rhubarbrockd"], &texts) {
+        Ok(raw) => check(raw).map(|settings| Request::Run(Box::new(settings))),
+        Err(exit) if exit.status.is_ok() => Ok(Request::Print(exit.output)),
+        Err(exit) => Err(Faults(
+            exit.output
+                .lines()
+                .map(str::trim)
+                .filter(|l| !l.is_empty())
+                .map(str::to_owned)
+                .collect(),
+        )),
+    }
+}
+
+/// Puts a flag for each variable before the arguments, unless the flag is there.
+fn with_variables(
+    arguments: &[String],
+    variables: impl Iterator<Item = (String, String)>,
+) -> Vec<String> {
+    let mut found: Vec<(String, String)> = variables
+        .filter(|(name, _)| name.starts_with(VARIABLE_PREFIX))
+        .filter(|(name, _)| !TOOL_VARIABLES.contains(&name.as_str()))
+        .collect();
+    found.sort();
+    let mut all = Vec::new();
+    for (name, value) in found {
+        let flag = flag_name(&name);
+        if arguments.contains(&flag) {
+            continue;
+        }
+        if flag == REPEATED_FLAG {
+            for item in value.split(',').filter(|item| !item.is_empty()) {
+                all.push(flag.clone());
+                all.push(item.trim().to_owned());
+            }
+        } else {
+            all.push(flag);
+            all.push(value);
+        }
+    }
+    all.extend_from_slice(arguments);
+    all
+}
+
+fn flag_name(variable: &str) -> String {
+    let rest = &variable[VARIABLE_PREFIX.len()..];
+    format!("--{}", rest.to_ascii_lowercase().replace('_', "-"))
+}
+
+/// Collects faults so that all are named at once.
+#[derive(Default)]
+struct Checker {
+    faults: Vec<String>,
+}
+
+impl Checker {
+    fn fault(&mut self, flag: &str, message: impl std::fmt::Display) {
+        self.faults.push(format!("--{flag}: {message}"));
+    }
+
+    fn address(&mut self, flag: &str, text: &str) -> SocketAddr {
+        match text.parse() {
+            Ok(address) => address,
+            Err(_) => {
+                self.fault(flag, format!("\"{text}\" is not IP:port"));
+                SocketAddr::from(([0, 0, 0, 0], 0))
+            }
+        }
+    }
+
+    fn at_least(&mut self, flag: &str, value: Option<u32>, default: u32, least: u32) -> u32 {
+        let value = value.unwrap_or(default);
+        if value < least {
+            self.fault(flag, format!("{value} is below the least, {least}"));
+        }
+        value
+    }
+
+    fn word(&mut self, flag: &str, text: &str) {
+        let is_plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_' || c == '.';
+        if text.is_empty() || !text.chars().all(is_plain) {
+            self.fault(flag, format!("\"{text}\" must be letters, digits, '-', '_' or '.'"));
+        }
+    }
+}
+
+fn check(raw: settings::Settings) -> Result<Settings, Faults> {
+    let mut checker = Checker::default();
+    checker.word("name", &raw.name);
+    checker.word("data-centre", &raw.data_centre);
+    let caller_address = checker.address("caller-address", &raw.caller_address);
+    let peer_address = checker.address("peer-address", &raw.peer_address);
+    if caller_address == peer_address {
+        checker.fault("peer-address", "is the caller address too");
+    }
+    let seeds = raw.seed.iter().map(|seed| checker.address("seed", seed)).collect();
+    let platform_url = check_platform_url(&mut checker, &raw.platform_url);
+    let peer_key = check_peer_key(&mut checker, raw.peer_key, peer_address);
+    let tls = check_tls(&mut checker, raw.tls_certificate, raw.tls_key);
+    if raw.peer_tls_authority.is_some() {
+        checker.fault("peer-tls-authority", "is not supported yet; use --peer-key");
+    }
+    let log = check_log(&mut checker, raw.log_format, raw.log_level);
+    let limits = Limits {
+        max_header_bytes: checker.at_least(
+            "max-header-bytes",
+            raw.max_header_bytes,
+            DEFAULT_LIMITS.max_header_bytes,
+            8_192,
+        ),
+        max_body_bytes: checker.at_least(
+            "max-body-bytes",
+            raw.max_body_bytes,
+            DEFAULT_LIMITS.max_body_bytes,
+            1,
+        ),
+        read_timeout: Duration::from_millis(u64::from(checker.at_least(
+            "read-timeout-ms",
+            raw.read_timeout_ms,
+            DEFAULT_LIMITS.read_timeout.as_millis() as u32,
+            1,
+        ))),
+        max_connections: checker.at_least(
+            "max-connections",
+            raw.max_connections,
+            DEFAULT_LIMITS.max_connections,
+            1,
+        ),
+        max_streams: checker.at_least(
+            "max-streams",
+            raw.max_streams,
+            DEFAULT_LIMITS.max_streams,
+            1,
+        ),
+        caller_threads: checker.at_least(
+            "caller-threads",
+            raw.caller_threads,
+            DEFAULT_LIMITS.caller_threads,
+            1,
+        ),
+    };
+    let probe_interval_ms = checker.at_least("probe-interval-ms", raw.probe_interval_ms, 1_000, 10);
+    if !checker.faults.is_empty() {
+        return Err(Faults(checker.faults));
+    }
+    Ok(Settings {
+        name: raw.name,
+        data_centre: raw.data_centre,
+        region: raw.region.unwrap_or_default(),
+        instance: raw.instance.unwrap_or(0),
+        caller_address,
+        peer_address,
+        platform_url,
+        seeds,
+        peer_key,
+        tls,
+        log,
+        limits,
+        probe_interval: Duration::from_millis(u64::from(probe_interval_ms)),
+        drain_limit: raw
+            .drain_limit_ms
+            .filter(|limit_ms| *limit_ms > 0)
+            .map(|limit_ms| Duration::from_millis(u64::from(limit_ms))),
+        record_trace: raw.record_trace.map(PathBuf::from),
+    })
+}
+
+fn check_platform_url(checker: &mut Checker, text: &str) -> String {
+    let trimmed = text.trim_end_matches('/');
+    let authority = trimmed.strip_prefix("http://").unwrap_or("");
+    if authority.is_empty() || authority.contains('/') {
+        checker.fault("platform-url", format!("\"{text}\" is not http://IP:port"));
+    } else if trimmed.parse::<http::Uri>().is_err() {
+        checker.fault("platform-url", format!("\"{text}\" is not a URL"));
+    }
+    trimmed.to_owned()
+}
+
+fn check_peer_key(checker: &mut Checker, key: Option<String>, peer_address: SocketAddr) -> String {
+    match key {
+        Some(key) if key.len() < MIN_PEER_KEY_BYTES => {
+            checker.fault("peer-key", format!("is shorter than {MIN_PEER_KEY_BYTES} bytes"));
+            key
+        }
+        Some(key) => key,
+        None if peer_address.ip().is_loopback() => LOOPBACK_PEER_KEY.to_owned(),
+        None => {
+            checker.fault("peer-key", "is required where --peer-address is not on loopback");
+            String::new()
+        }
+    }
+}
+
+fn check_tls(
+    checker: &mut Checker,
+    certificate: Option<String>,
+    key: Option<String>,
+) -> Option<TlsFiles> {
+    match (certificate, key) {
+        (Some(certificate), Some(key)) => {
+            Some(TlsFiles { certificate: PathBuf::from(certificate), key: PathBuf::from(key) })
+        }
+        (None, None) => None,
+        (Some(_), None) => {
+            checker.fault("tls-key", "is required with --tls-certificate");
+            None
+        }
+        (None, Some(_)) => {
+            checker.fault("tls-certificate", "is required with --tls-key");
+            None
+        }
+    }
+}
+
+fn check_log(checker: &mut Checker, format: Option<String>, level: Option<String>) -> LogSettings {
+    let json = match format.as_deref() {
+        None | Some("text") => false,
+        Some("json") => true,
+        Some(other) => {
+            checker.fault("log-format", format!("\"{other}\" is neither text nor json"));
+            false
+        }
+    };
+    let level = match level.as_deref() {
+        None | Some("info") => slog::Level::Info,
+        Some("debug") => slog::Level::Debug,
+        Some("warning") => slog::Level::Warning,
+        Some("error") => slog::Level::Error,
+        Some(other) => {
+            checker
+                .fault("log-level", format!("\"{other}\" is none of debug, info, warning, error"));
+            slog::Level::Info
+        }
+    };
+    LogSettings { json, level }
+}
