--- a/rhubarbrock/src/lib.rs
+++ b/rhubarbrock/src/lib.rs
@@ -16,14 +16,14 @@
 
 pub mod admission;
 pub mod broadcast;
+pub mod cache;
+mod choice;
 pub mod claim;
 pub mod claim_batch;
 pub(crate) mod claim_call;
 pub(crate) mod claim_config;
 pub(crate) mod claim_record;
 pub(crate) mod claim_table;
-pub mod cache;
-mod choice;
 pub mod clock;
 mod contacts;
 pub mod defaults;
