--- a/rhubarbrock-cli/src/check.rs
+++ b/rhubarbrock-cli/src/check.rs
@@ -6,7 +6,7 @@
 
 use crate::exit::{self, Exit};
 use crate::http::Client;
-use crate::{log, settings};
+use crate::{log, settings, show};
 
 /// check a release note and print one line for each fault, as FILE:LINE: field: message. Exit
 /// codes: 0 no fault, 1 faults, 2 wrong command line, 4 platform not reached
@@ -44,7 +44,7 @@
         }
         let Some(base) = log.base() else {
             report(&self.file, &own, "not compared with the release in force");
-            return exit::unreachable("the log holds no snapshot of the release in force now");
+            return exit::unreachable(show::NO_BASE);
         };
         report(
             &self.file,
--- a/rhubarbrock-cli/src/publish.rs
+++ b/rhubarbrock-cli/src/publish.rs
@@ -1,15 +1,16 @@
 //! `rhubarbrock publish`.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use argh::FromArgs;
 use rhubarbrock::note::ParsedNote;
-use rhubarbrock::publisher::{Outcome, Publisher, Step};
+use rhubarbrock::publisher::{Append, Outcome, Publisher, Step};
 use rhubarbrock::release;
+use tokio::time::Instant;
 
 use crate::exit::{self, Exit};
 use crate::http::{Base, Client};
-use crate::{check, log, settings};
+use crate::{check, log, settings, show};
 
 /// Longest time of publishing.
 const TIMEOUT: Duration = Duration::from_secs(30);
@@ -65,22 +66,27 @@
     let client = Client::new();
     let mut log = release::ReleaseLog::new();
     let mut publisher = Publisher::new(parsed, author, rand::random());
-    let start = Instant::now();
+    let end = Instant::now() + timeout;
     let mut tries = 0;
     let mut reads = 0;
-    while start.elapsed() < timeout {
+    loop {
         let failure = match publisher.next(&log) {
             Step::Done(outcome) => return outcome,
-            Step::Read => match log::read_to_end(&client, platform, &mut log).await {
-                Ok(()) => {
+            Step::Read => {
+                let read = log::read_to_end(&client, platform, &mut log);
+                let Ok(read) = tokio::time::timeout_at(end, read).await else { break };
+                if read.is_ok() {
                     publisher.read_to_end();
-                    reads += 1;
-                    None
                 }
-                Err(error) => Some(error),
-            },
+                reads += 1;
+                read.err()
+            }
             Step::Append(record) => {
-                let (append, failure) = log::append(&client, platform, &record).await;
+                let append = log::append(&client, platform, &record);
+                let Ok((append, failure)) = tokio::time::timeout_at(end, append).await else {
+                    publisher.appended(Append::Unknown);
+                    break;
+                };
                 publisher.appended(append);
                 reads = 0;
                 failure
@@ -91,9 +97,12 @@
         }
         if failure.is_some() || reads > 1 {
             tries += 1;
-            tokio::time::sleep(log::back_off(tries)).await;
+            tokio::time::sleep_until(end.min(Instant::now() + log::back_off(tries))).await;
         }
     }
+    if log.next_offset() > 1 && log.base().is_none() {
+        eprintln!("{}", show::NO_BASE);
+    }
     publisher.give_up(&log)
 }
 
--- a/rhubarbrock-cli/src/show.rs
+++ b/rhubarbrock-cli/src/show.rs
@@ -8,6 +8,10 @@
 use crate::http::Client;
 use crate::{log, settings};
 
+/// Told where the log dropped the notes that a release is made of and holds no snapshot.
+pub(crate) const NO_BASE: &str =
+    "the log holds no snapshot of the release in force now; a live node writes one within a minute";
+
 /// show the release in force, read from the platform's log. Exit codes: 0 shown, 2 wrong command
 /// line, 4 platform not reached or nothing to show
 #[derive(FromArgs)]
@@ -32,7 +36,7 @@
             return exit::unreachable(error);
         }
         match log.base() {
-            None => exit::unreachable("the log holds no snapshot of the release in force now"),
+            None => exit::unreachable(NO_BASE),
             Some(base) if base.version == 0 => exit::unreachable("no note is in force yet"),
             Some(base) if self.json => {
                 let text =
