--- a/standins/src/fleet.rs
+++ b/standins/src/fleet.rs
@@ -79,7 +79,7 @@
             data_centre: data_centre.to_owned(),
             address: address.to_owned(),
             peer_address: peer.to_owned(),
-            class: "small".to_owned(),
+            class: "general".to_owned(),
             market: "reclaimable".to_owned(),
             ..Instance::default()
         })
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -72,8 +72,8 @@
     /// data centre that they run in
     #[argh(option)]
     data_centre: String,
-    /// machine class (gpu-small)
-    #[argh(option, default = "String::from(\"gpu-small\")")]
+    /// machine class (accelerator-small)
+    #[argh(option, default = "String::from(\"accelerator-small\")")]
     class: String,
     /// market: reclaimable or on_demand (reclaimable)
     #[argh(option, default = "String::from(\"reclaimable\")")]
@@ -129,9 +129,15 @@
     /// service that the replicas are for
     #[argh(option)]
     service: String,
-    /// data centre that they run in
+    /// data centre that they run in; where it is repeated, the replicas take turns
     #[argh(option)]
-    data_centre: String,
+    data_centre: Vec<String>,
+    /// machine class (general)
+    #[argh(option, default = "String::from(\"general\")")]
+    class: String,
+    /// market: reclaimable or on_demand (reclaimable)
+    #[argh(option, default = "String::from(\"reclaimable\")")]
+    market: String,
     /// replicas, on consecutive ports (1)
     #[argh(option, default = "1")]
     replicas: u16,
@@ -239,15 +245,17 @@
 }
 
 async fn run_desk(arguments: DeskArguments) -> anyhow::Result<()> {
+    let data_centres = &arguments.data_centre;
+    anyhow::ensure!(!data_centres.is_empty(), "--data-centre is missing");
     let listeners = bind_all(arguments.address, arguments.replicas).await?;
     let mut instances = Vec::new();
     for (index, listener) in listeners.iter().enumerate() {
         instances.push(Instance {
             id: arguments.first_id + index as u64,
             kind: "desk".to_owned(),
-            data_centre: arguments.data_centre.clone(),
-            class: "small".to_owned(),
-            market: "reclaimable".to_owned(),
+            data_centre: data_centres[index % data_centres.len()].clone(),
+            class: arguments.class.clone(),
+            market: arguments.market.clone(),
             state: State::Live,
             service: arguments.service.clone(),
             address: listener.local_addr()?.to_string(),
