--- a/proofs/src/lib.rs
+++ b/proofs/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod claim_desk;
 pub mod claim_log;
 pub mod claim_world;
+pub mod poison_world;
 
 use derive_more::{Display, Error};
 
--- /dev/null
+++ b/proofs/src/poison_world.rs
@@ -0,0 +1,325 @@
+//! Poisonous requests: endpoints that crash, their batch mates, and nodes that tell each other.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rhubarbrock::quarantine::{Config, Quarantine, Standing};
+use rhubarbrock_schema::peer;
+
+use crate::Violation;
+
+const POISON: u64 = 1;
+const STEP: Duration = Duration::from_millis(100);
+const NODES: usize = 3;
+const ENDPOINTS: usize = 10;
+const BATCH: usize = 8;
+const AFTER_CRASHES: usize = 2;
+const QUARANTINE: Duration = Duration::from_secs(60);
+const RESTART: Duration = Duration::from_secs(20);
+/// How often one accepted poisonous request is tried before its caller is told that it failed.
+const MOST_ATTEMPTS: u32 = 4;
+/// How much news one message carries.
+const NEWS: usize = 16;
+/// Time without new requests at the end, in which all that is left must finish.
+const CALM: Duration = Duration::from_secs(600);
+
+/// What happened in one run.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Steps of 100 ms.
+    pub events: u64,
+    /// Endpoints lost to the poisonous request.
+    pub lost: u64,
+    /// Sendings of the poisonous request by its caller.
+    pub sendings: u64,
+    /// Requests of others that were answered.
+    pub answered: u64,
+    /// Requests of others that were refused for a time.
+    pub wrongly_quarantined: u64,
+}
+
+impl Report {
+    /// Adds another run's counts.
+    pub fn add(&mut self, other: &Report) {
+        self.events += other.events;
+        self.lost += other.lost;
+        self.sendings += other.sendings;
+        self.answered += other.answered;
+        self.wrongly_quarantined += other.wrongly_quarantined;
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    fingerprint: u64,
+    attempts: u32,
+}
+
+#[derive(Debug)]
+struct Run {
+    node: usize,
+    request: Request,
+    ends_at: Duration,
+}
+
+#[derive(Debug)]
+struct Endpoint {
+    id: u64,
+    up_at: Duration,
+    runs: Vec<Run>,
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    now: Duration,
+    nodes: Vec<Quarantine>,
+    queues: Vec<VecDeque<Request>>,
+    endpoints: Vec<Endpoint>,
+    news: Vec<(Duration, usize, Vec<peer::Suspect>)>,
+    next_fingerprint: u64,
+    next_endpoint: u64,
+    poison_due: Duration,
+    refused: BTreeMap<u64, u64>,
+    report: Report,
+}
+
+/// Runs one world.
+///
+/// # Errors
+///
+/// The first broken invariant.
+pub fn run(seed: u64, steps: u64) -> Result<Report, Violation> {
+    let mut world = World::new(seed);
+    let broken = |event, what| Violation { seed, event, what };
+    for event in 0..steps {
+        world.step(true);
+        world.check_losses().map_err(|what| broken(event, what))?;
+    }
+    let until = world.now + CALM;
+    while world.now < until {
+        world.step(false);
+    }
+    world.check_answers().map_err(|what| broken(steps, what))?;
+    world.report.events = steps;
+    Ok(world.report)
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let config = Config {
+            after_crashes: AFTER_CRASHES,
+            quarantine: QUARANTINE,
+            longest_quarantine: QUARANTINE,
+            suspicion: QUARANTINE * 4,
+            ..Config::default()
+        };
+        let endpoints = (0..ENDPOINTS as u64)
+            .map(|id| Endpoint { id, up_at: Duration::ZERO, runs: Vec::new() })
+            .collect();
+        World {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Duration::ZERO,
+            nodes: (0..NODES).map(|_| Quarantine::new(config.clone())).collect(),
+            queues: vec![VecDeque::new(); NODES],
+            endpoints,
+            news: Vec::new(),
+            next_fingerprint: POISON,
+            next_endpoint: ENDPOINTS as u64,
+            poison_due: Duration::from_secs(3),
+            refused: BTreeMap::new(),
+            report: Report::default(),
+        }
+    }
+
+    fn step(&mut self, has_arrivals: bool) {
+        self.now += STEP;
+        if has_arrivals {
+            self.arrive();
+        }
+        self.place();
+        self.end_runs();
+        self.tell_peers();
+        for node in &mut self.nodes {
+            node.tick(self.now);
+        }
+    }
+
+    fn arrive(&mut self) {
+        for _ in 0..self.rng.random_range(0..4) {
+            self.next_fingerprint += 1;
+            let node = self.rng.random_range(0..NODES);
+            let request = Request { fingerprint: self.next_fingerprint, attempts: 0 };
+            self.queues[node].push_back(request);
+        }
+        if self.now >= self.poison_due {
+            self.poison_due = Duration::MAX;
+            self.report.sendings += 1;
+            let node = self.rng.random_range(0..NODES);
+            self.queues[node].push_back(Request { fingerprint: POISON, attempts: 0 });
+        }
+        if self.rng.random_ratio(1, 2_000) {
+            self.crash_wave();
+        }
+    }
+
+    /// Half of the endpoints go at once, with no request to blame.
+    fn crash_wave(&mut self) {
+        for index in 0..ENDPOINTS / 2 {
+            self.crash(index);
+        }
+    }
+
+    fn place(&mut self) {
+        for node in 0..NODES {
+            for _ in 0..self.queues[node].len() {
+                let Some(request) = self.queues[node].pop_front() else { break };
+                self.place_one(node, request);
+            }
+        }
+    }
+
+    fn place_one(&mut self, node: usize, request: Request) {
+        let fingerprint = request.fingerprint;
+        if let Standing::Quarantined { .. } = self.nodes[node].standing(self.now, fingerprint) {
+            self.refuse(node, request);
+            return;
+        }
+        let start = self.rng.random_range(0..ENDPOINTS);
+        for step in 0..ENDPOINTS {
+            let endpoint = &self.endpoints[(start + step) % ENDPOINTS];
+            if endpoint.up_at > self.now || endpoint.runs.len() >= BATCH {
+                continue;
+            }
+            let own: Vec<u64> = endpoint
+                .runs
+                .iter()
+                .filter(|run| run.node == node)
+                .map(|run| run.request.fingerprint)
+                .collect();
+            if self.nodes[node].may_place(self.now, fingerprint, &own) {
+                self.start(node, request, (start + step) % ENDPOINTS);
+                return;
+            }
+        }
+        self.queues[node].push_back(request);
+    }
+
+    fn start(&mut self, node: usize, request: Request, index: usize) {
+        let time_ms = self.rng.random_range(300..3_000);
+        let ends_at = self.now + Duration::from_millis(time_ms);
+        let request = Request { attempts: request.attempts + 1, ..request };
+        self.endpoints[index].runs.push(Run { node, request, ends_at });
+    }
+
+    /// A quarantined request: its caller is told, and the poisonous one's sends it again.
+    fn refuse(&mut self, node: usize, request: Request) {
+        if request.fingerprint == POISON {
+            self.poison_due = self.now + Duration::from_secs(2);
+            return;
+        }
+        let refusals = self.refused.entry(request.fingerprint).or_default();
+        if *refusals == 0 {
+            self.report.wrongly_quarantined += 1;
+        }
+        *refusals += 1;
+        self.queues[node].push_back(request);
+    }
+
+    fn end_runs(&mut self) {
+        for index in 0..ENDPOINTS {
+            let now = self.now;
+            let (ended, running): (Vec<Run>, Vec<Run>) =
+                self.endpoints[index].runs.drain(..).partition(|run| run.ends_at <= now);
+            self.endpoints[index].runs = running;
+            let (poison, fine): (Vec<Run>, Vec<Run>) =
+                ended.into_iter().partition(|run| run.request.fingerprint == POISON);
+            for run in fine {
+                self.report.answered += 1;
+                self.nodes[run.node].on_finished(now, run.request.fingerprint);
+            }
+            if !poison.is_empty() {
+                self.endpoints[index].runs.extend(poison);
+                self.report.lost += 1;
+                self.crash(index);
+            }
+        }
+    }
+
+    /// An endpoint crashes; every node sees what it ran there itself, and tries it again.
+    fn crash(&mut self, index: usize) {
+        let id = self.endpoints[index].id;
+        let runs = std::mem::take(&mut self.endpoints[index].runs);
+        self.next_endpoint += 1;
+        self.endpoints[index].id = self.next_endpoint;
+        self.endpoints[index].up_at = self.now + RESTART;
+        let nodes: BTreeSet<usize> = runs.iter().map(|run| run.node).collect();
+        for node in nodes {
+            let own: Vec<u64> = runs
+                .iter()
+                .filter(|run| run.node == node)
+                .map(|run| run.request.fingerprint)
+                .collect();
+            self.nodes[node].on_crash(self.now, id, &own);
+        }
+        for run in runs {
+            let is_poison = run.request.fingerprint == POISON;
+            if is_poison && run.request.attempts >= MOST_ATTEMPTS {
+                self.poison_due = self.now + Duration::from_secs(2);
+            } else {
+                self.queues[run.node].push_back(run.request);
+            }
+        }
+    }
+
+    fn tell_peers(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.news).into_iter().partition(|(at, _, _)| *at <= now);
+        self.news = later;
+        for (_, node, suspects) in due {
+            self.nodes[node].on_peer_suspects(now, &suspects);
+        }
+        if !self.now.as_millis().is_multiple_of(1_000) {
+            return;
+        }
+        for node in 0..NODES {
+            let other = (node + self.rng.random_range(1..NODES)) % NODES;
+            if self.rng.random_ratio(1, 10) {
+                continue;
+            }
+            let at = now + Duration::from_millis(self.rng.random_range(100..500));
+            self.news.push((at, other, self.nodes[node].digest(now, NEWS)));
+        }
+    }
+
+    /// Each node loses at most the stated number of endpoints before it knows, and one more for
+    /// each quarantine that ends.
+    fn check_losses(&self) -> Result<(), String> {
+        let periods = (self.now.as_millis() / QUARANTINE.as_millis()) as u64;
+        let nodes = NODES as u64;
+        let bound = nodes * AFTER_CRASHES as u64 + nodes * periods;
+        if self.report.lost > bound {
+            return Err(format!("{} endpoints lost, the bound is {bound}", self.report.lost));
+        }
+        Ok(())
+    }
+
+    fn check_answers(&self) -> Result<(), String> {
+        let given = self.report.answered;
+        let wanted = self.next_fingerprint - POISON;
+        if given != wanted {
+            return Err(format!("{given} of {wanted} requests of others answered"));
+        }
+        for (node, quarantine) in self.nodes.iter().enumerate() {
+            for fingerprint in POISON + 1..=self.next_fingerprint {
+                let standing = quarantine.standing(self.now, fingerprint);
+                if let Standing::Quarantined { .. } = standing {
+                    return Err(format!("node {node} keeps request {fingerprint} quarantined"));
+                }
+            }
+        }
+        Ok(())
+    }
+}
