Tell a refused connection as not run

Cause: permission to send is asked before the endpoint is connected to, so a refused connection after it ended in doubt though no byte had left.

Change: a dispatch reported as not sent ends as not run also after the permission; the reporter vouches that no byte left and none will.

--- a/proofs/src/claim_world.rs
+++ b/proofs/src/claim_world.rs
@@ -528,8 +528,11 @@
         if self.callers.get(&call).is_some_and(|caller| caller.told.is_some()) {
             self.break_with(format!("call {call} is sent though its caller was told"));
         }
-        if self.options.faults && self.rng.random_ratio(1, 20) {
-            let flight = Flight::Answer { node, id, call, result: DispatchResult::Unknown };
+        if self.options.faults && self.rng.random_ratio(1, 10) {
+            let was_refused = self.rng.random_bool(0.5);
+            let result =
+                if was_refused { DispatchResult::NotSent } else { DispatchResult::Unknown };
+            let flight = Flight::Answer { node, id, call, result };
             self.flights.push((self.now, flight));
             return;
         }
--- a/rhubarbrock/src/claim.rs
+++ b/rhubarbrock/src/claim.rs
@@ -208,7 +208,7 @@
         /// Body.
         body: Vec<u8>,
     },
-    /// No byte of the call has left. Counts as `Unknown` once [`Claims::on_dispatched`] was told.
+    /// No byte of the call has left and none will, such as where the connection was refused.
     NotSent,
     /// The call may have reached the endpoint.
     Unknown,
@@ -408,7 +408,7 @@
     pub fn on_ended(&mut self, now: Duration, id: CallId, result: DispatchResult) -> Vec<Action> {
         let Some(call) = self.calls.get(&id) else { return Vec::new() };
         match (call.stage, result) {
-            (Stage::Dispatching { .. }, DispatchResult::NotSent) => {
+            (Stage::Dispatching { .. } | Stage::Dispatched { .. }, DispatchResult::NotSent) => {
                 self.end_not_run(now, id, NotRun::NoEndpoint);
             }
             (Stage::Dispatched { .. }, result) => self.end_dispatched(now, id, result),
@@ -590,7 +590,7 @@
             DispatchResult::FenceRefused => {
                 (claim_record::in_doubt(call), in_doubt(InDoubt::FenceRefused))
             }
-            DispatchResult::NotSent | DispatchResult::Unknown => {
+            DispatchResult::Unknown | DispatchResult::NotSent => {
                 (claim_record::in_doubt(call), in_doubt(InDoubt::AnswerLost))
             }
         };
