--- a/standins/tests/replicas.rs
+++ b/standins/tests/replicas.rs
@@ -131,6 +131,9 @@
 #[tokio::test]
 async fn leaving_replica_refuses_and_says_so_without_lag() {
     let addresses = replicas().await;
+    // The report that still shows when the replica is leaving.
+    let load = call(addresses[0], "GET", "/load", Value::Null).await.unwrap();
+    assert_eq!(load.body["leaving"], false);
     let faults = json!({ "leaving": true, "load_lag_ms": 60_000 });
     assert_eq!(call(addresses[0], "POST", "/faults", faults).await.unwrap().status, 200);
     let load = call(addresses[0], "GET", "/load", Value::Null).await.unwrap();
