Keep a second copy of accepted requests at another node

Cause: a request that was accepted must be answered though its node, or its whole data centre, goes with a notice or without.

The change: `custody` holds, keeps, follows, adopts and hands over records; `placement` says which nodes keep one (other data centres of the region first, then other regions, then the own) and in which order it is looked for; `answer` is the text with its chunks, which grows only by what continues it.

What the tests found while this was written, all mended: - Two runners of the same term stopped each other: one that was superseded claimed the rank of the node that told it. It keeps its own rank now, apart from the pointer to the runner (a_superseded_holder_stops_no_other). - A holder died before it had handed over, and its custodian had a notice before that death was known: a leaving node passes on the copies that it keeps (a_second_wave_that_hits_the_adopters…). - A finished answer was lost with its second node: finished answers of dead holders get a new second copy as well (adopters_that_die_in_turn…). - Copies whose holder forgot the request stayed for a quarter of an hour (copies_are_bounded…, a_copy_stored_too_late…).

Ruled out: handing over to nodes chosen anew, which have none of the text; the custodian of each request is tried first, and rendezvous hashing spreads these.

Not proved: text of engines whose answer depends on more than the request; two runners may then differ, and a caller that moves from one to the other sees a seam. Two deaths without notice within the time that it takes to see the first lose a request.

--- /dev/null
+++ b/rhubarbrock/tests/custody.rs
@@ -0,0 +1,455 @@
+//! Accepted requests survive reclaims, deaths and pauses, with one answer each.
+
+mod calls;
+
+use std::time::Duration;
+
+use calls::{Faults, Fleet, data_centre, whole_text};
+use rand::Rng;
+use rhubarbrock::custody::{Action, Config, Custody};
+use rhubarbrock::{answer, id, placement};
+use rhubarbrock_schema::peer;
+
+/// Longest time until a death is known, by the settings of the fake, and two store calls after it.
+const ADOPTION_BOUND: Duration = Duration::from_millis(8_000 + 2 * 500 + 1_000);
+
+/// Time in which the longest answer is generated without a pause.
+const LONGEST_ANSWER: Duration = Duration::from_secs(12);
+
+/// Loss, delay and doubling of calls.
+fn faults() -> Faults {
+    Faults { delay_ms: 1..300, lost_percent: 5, doubled_percent: 5, ..Faults::none() }
+}
+
+fn accept_some(fleet: &mut Fleet, count: usize) {
+    for _ in 0..count {
+        let node = fleet.rng.random_range(0..fleet.nodes.len());
+        if fleet.runs(node) && !fleet.nodes[node].leaving {
+            fleet.accept(node);
+        }
+        fleet.run(Duration::from_millis(100));
+    }
+}
+
+fn nodes_of(fleet: &Fleet, centre: &str) -> Vec<usize> {
+    (0..fleet.nodes.len()).filter(|&node| data_centre(node) == centre).collect()
+}
+
+/// Fails if a request with two copies is neither run nor answered.
+fn assert_all_served(fleet: &Fleet, seed: u64) {
+    for (&request, &copies) in &fleet.accepted {
+        assert!(copies < 2 || fleet.is_served(request), "seed {seed}: {request} is lost");
+    }
+}
+
+/// Lets all answers end and checks that each is whole and run by nobody any more.
+fn assert_all_answered(fleet: &mut Fleet, seed: u64) {
+    fleet.faults = Faults::none();
+    fleet.run(LONGEST_ANSWER + ADOPTION_BOUND);
+    let accepted = fleet.accepted.clone();
+    for (request, copies) in accepted {
+        assert_eq!(fleet.runners(request), 0, "seed {seed}: {request} still runs");
+        let whole = whole_text(request);
+        let answered = fleet
+            .ask_all(request, 0)
+            .iter()
+            .any(|reply| reply.finish.is_some() && reply.text == whole);
+        assert!(copies < 2 || answered, "seed {seed}: {request} has no whole answer");
+    }
+}
+
+#[test]
+fn quiet_requests_have_two_copies_and_one_runner() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(6, seed, &Config::default());
+        accept_some(&mut fleet, 40);
+        fleet.run(Duration::from_secs(1));
+        assert!(fleet.accepted.len() >= 40, "seed {seed}: {}", fleet.accepted.len());
+        assert!(fleet.accepted.values().all(|&copies| copies == 2), "seed {seed}");
+        assert!(fleet.accepted.keys().all(|&request| fleet.runners(request) <= 1), "seed {seed}");
+        assert_all_answered(&mut fleet, seed);
+        let adoptions: u64 = fleet.nodes.iter().map(|node| node.custody.counters().adoptions).sum();
+        assert_eq!(adoptions, 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn progress_calls_are_batched() {
+    let mut fleet = Fleet::new(6, 1, &Config::default());
+    for _ in 0..100 {
+        fleet.accept(0);
+    }
+    fleet.run(Duration::from_millis(500));
+    let before = fleet.progress_calls;
+    fleet.run(Duration::from_secs(2));
+    let calls = fleet.progress_calls - before;
+    assert!(calls <= 4 * 8, "{calls} calls in 2 s to 4 custodians");
+}
+
+#[test]
+fn a_data_centre_reclaimed_with_notice_loses_nothing() {
+    for seed in 0..100 {
+        let mut fleet = Fleet::new(3 + (seed % 6) as usize, seed, &Config::default());
+        fleet.faults = faults();
+        accept_some(&mut fleet, 20);
+        reclaim(&mut fleet, "dc0", true);
+        fleet.run(ADOPTION_BOUND);
+        assert_all_served(&fleet, seed);
+        assert_all_answered(&mut fleet, seed);
+    }
+}
+
+#[test]
+fn a_second_wave_that_hits_the_adopters_loses_nothing() {
+    for seed in 0..100 {
+        let mut fleet = Fleet::new(6 + (seed % 3) as usize, seed, &Config::default());
+        fleet.faults = faults();
+        accept_some(&mut fleet, 20);
+        reclaim(&mut fleet, "dc0", true);
+        let gap = Duration::from_millis(fleet.rng.random_range(0..6_000));
+        fleet.run(gap);
+        reclaim(&mut fleet, "dc1", false);
+        fleet.run(ADOPTION_BOUND);
+        assert_all_served(&fleet, seed);
+        assert_all_answered(&mut fleet, seed);
+    }
+}
+
+/// Gives a data centre notice of 4 s and ends it; with `early` some nodes die before.
+fn reclaim(fleet: &mut Fleet, centre: &str, early: bool) {
+    let nodes = nodes_of(fleet, centre);
+    for &node in &nodes {
+        fleet.give_notice(node);
+    }
+    for _ in 0..4 {
+        fleet.run(Duration::from_secs(1));
+        let dies_early = early && fleet.rng.random_bool(0.3);
+        let victim = nodes[fleet.rng.random_range(0..nodes.len())];
+        if dies_early && fleet.nodes[victim].alive {
+            fleet.kill(victim);
+        }
+    }
+    for node in nodes {
+        if fleet.nodes[node].alive {
+            fleet.kill(node);
+        }
+    }
+}
+
+#[test]
+fn death_without_notice_is_adopted_from_the_text_so_far() {
+    for seed in 0..60 {
+        let mut fleet = Fleet::new(5, seed, &Config::default());
+        fleet.faults = faults();
+        let request = fleet.accept(0);
+        fleet.run(Duration::from_secs(2));
+        assert_eq!(fleet.accepted.get(&request), Some(&2), "seed {seed}");
+        fleet.kill(0);
+        fleet.run(ADOPTION_BOUND);
+        assert!(fleet.is_served(request), "seed {seed}");
+        let recomputed = fleet.generated_chunks;
+        assert_all_answered(&mut fleet, seed);
+        assert!(fleet.generated_chunks >= recomputed);
+    }
+}
+
+#[test]
+fn adopters_that_die_in_turn_are_followed() {
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(8, seed, &Config::default());
+        let requests: Vec<id::RequestId> = (0..10).map(|_| fleet.accept(0)).collect();
+        fleet.run(Duration::from_millis(500));
+        for victim in [0, 1, 2, 3] {
+            fleet.kill(victim);
+            fleet.run(ADOPTION_BOUND);
+            let lost = requests.iter().find(|request| !fleet.is_served(**request));
+            assert_eq!(lost, None, "seed {seed}, after node {victim}");
+        }
+        assert_all_answered(&mut fleet, seed);
+    }
+}
+
+#[test]
+fn a_holder_that_wakes_from_a_pause_stops() {
+    for seed in 0..60 {
+        let mut fleet = Fleet::new(5, seed, &Config::default());
+        let requests: Vec<id::RequestId> = (0..20).map(|_| fleet.accept(0)).collect();
+        fleet.run(Duration::from_millis(700));
+        fleet.pause(0, Duration::from_millis(3_000));
+        fleet.run(Duration::from_millis(5_500));
+        let twice = requests.iter().filter(|request| fleet.runners(**request) > 1).count();
+        assert_eq!(twice, 0, "seed {seed}: run twice after the wake");
+        assert_all_answered(&mut fleet, seed);
+    }
+}
+
+#[test]
+fn chaos_gives_no_request_two_texts() {
+    let mut events = 0;
+    for seed in 0..100 {
+        let mut fleet = Fleet::new(4 + (seed % 5) as usize, seed, &Config::default());
+        fleet.faults = faults();
+        fleet.faults.lost_percent = 20;
+        for _ in 0..60 {
+            events += 1;
+            let node = fleet.rng.random_range(0..fleet.nodes.len());
+            match fleet.rng.random_range(0..12) {
+                0 if node > 1 => fleet.kill(node),
+                1 => fleet.give_notice(node),
+                2 | 3 => {
+                    let time = Duration::from_millis(fleet.rng.random_range(100..9_000));
+                    fleet.pause(node, time);
+                }
+                _ if fleet.runs(node) && !fleet.nodes[node].leaving => {
+                    fleet.accept(node);
+                }
+                _ => {}
+            }
+            fleet.run(Duration::from_millis(250));
+            let requests: Vec<id::RequestId> = fleet.accepted.keys().copied().collect();
+            for request in requests {
+                fleet.ask_all(request, 0);
+            }
+        }
+    }
+    println!("{events} events over 100 seeds");
+}
+
+#[test]
+fn copies_are_bounded_and_the_holder_asks_another() {
+    let config = Config::default().max_kept_bytes(20_000).max_ended_bytes(20_000);
+    for seed in 0..20 {
+        let mut fleet = Fleet::new(6, seed, &config);
+        for _ in 0..300 {
+            let node = fleet.rng.random_range(0..6);
+            fleet.accept(node);
+            fleet.run(Duration::from_millis(50));
+            for node in &fleet.nodes {
+                assert!(node.custody.kept_bytes() <= 20_000, "seed {seed}");
+            }
+        }
+        fleet.run(Duration::from_secs(2));
+        assert_eq!(fleet.accepted.len(), 300, "seed {seed}: accepted in bounded time");
+        assert_all_unfinished_run(&fleet, seed);
+        fleet.run(Duration::from_secs(700));
+        for node in &fleet.nodes {
+            assert_eq!(node.custody.kept_len(), 0, "seed {seed}");
+            assert_eq!(node.custody.ended_bytes(), 0, "seed {seed}");
+        }
+    }
+}
+
+fn assert_all_unfinished_run(fleet: &Fleet, seed: u64) {
+    for node in &fleet.nodes {
+        for request in node.custody.running() {
+            assert_eq!(fleet.runners(request), 1, "seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn another_organisation_learns_nothing() {
+    let mut fleet = Fleet::new(4, 1, &Config::default());
+    let request = fleet.accept(0);
+    fleet.run(Duration::from_secs(1));
+    for node in &fleet.nodes {
+        let reply = node.custody.find(fleet.now, request, "other", 0);
+        assert!(matches!(reply.state(), peer::FindState::Forbidden | peer::FindState::Unknown));
+        assert_eq!((reply.text.as_str(), reply.record), ("", None));
+    }
+}
+
+#[test]
+fn any_node_finds_a_request_at_the_first_nodes_it_asks() {
+    let mut fleet = Fleet::new(8, 1, &Config::default());
+    let request = fleet.accept(0);
+    fleet.run(Duration::from_secs(1));
+    fleet.kill(0);
+    fleet.run(ADOPTION_BOUND);
+    for node in 1..8 {
+        let order = fleet.nodes[node].custody.locate(request);
+        assert!(!order.contains(&1) && !order.contains(&(node as u64 + 1)));
+        let own = fleet.nodes[node].custody.find(fleet.now, request, "gourd", 0);
+        let is_here = own.state() == peer::FindState::Held;
+        let is_near = order.iter().take(2).any(|&other| {
+            let other = &fleet.nodes[other as usize - 1];
+            let reply = other.custody.find(fleet.now, request, "gourd", 0);
+            reply.state() == peer::FindState::Held
+        });
+        assert!(is_here || is_near, "node {node}");
+    }
+}
+
+#[test]
+fn what_is_taken_leaves_the_custodian_at_once() {
+    let mut fleet = Fleet::new(3, 1, &Config::default());
+    let request = fleet.accept(0);
+    fleet.run(LONGEST_ANSWER);
+    fleet.nodes[0].custody.taken(request);
+    fleet.run(Duration::from_secs(1));
+    let kept: usize = fleet.nodes.iter().map(|node| node.custody.kept_len()).sum();
+    assert_eq!(kept, 0);
+    assert!(fleet.is_served(request));
+}
+
+#[test]
+fn a_data_centre_lost_without_notice_loses_no_second_copy() {
+    for seed in 0..30 {
+        let mut fleet = Fleet::new(6, seed, &Config::default());
+        accept_some(&mut fleet, 20);
+        fleet.run(Duration::from_secs(1));
+        for node in nodes_of(&fleet, "dc0") {
+            fleet.kill(node);
+        }
+        fleet.run(ADOPTION_BOUND);
+        assert_all_served(&fleet, seed);
+    }
+}
+
+fn place(node: u64) -> placement::Place {
+    placement::Place {
+        node,
+        data_centre: format!("dc{node}"),
+        region: String::new(),
+        running: true,
+        leaving: false,
+    }
+}
+
+fn custody_of(me: u64, config: Config) -> Custody {
+    let mut custody = Custody::new(config, place(me));
+    custody.set_places(Duration::ZERO, [place(1), place(2), place(3)].map(|p| (p.node, p)).into());
+    custody
+}
+
+fn record(request: id::RequestId, holder: u64, term: u32, text: &str) -> peer::RequestRecord {
+    peer::RequestRecord {
+        request: request.to_string(),
+        organisation: "gourd".into(),
+        holder,
+        term,
+        text: text.into(),
+        ..Default::default()
+    }
+}
+
+fn store_call(sender: u64, record: peer::RequestRecord, adopt: bool) -> peer::StoreCall {
+    peer::StoreCall { sender, records: vec![record], adopt }
+}
+
+fn first_store(actions: &[Action]) -> (u64, u64) {
+    let store = actions.iter().find_map(|action| match action {
+        Action::Store { to, number, .. } => Some((*to, *number)),
+        _ => None,
+    });
+    store.expect("a store call")
+}
+
+#[test]
+fn a_superseded_holder_stops_no_other() {
+    let request = id::RequestId { holder: 2, secret: 7 };
+    let mut custody = custody_of(2, Config::default());
+    let now = Duration::from_secs(1);
+    let actions = custody.hold(now, record(request, 2, 1, ""));
+    let (_, number) = first_store(&actions);
+    let superseded = vec![request.to_string()];
+    let reply = peer::StoreReply { kept: vec![], superseded };
+    custody.stored(now, number, Some(&reply));
+    let (reply, _) = custody.store(now, store_call(3, record(request, 3, 1, ""), false));
+    assert_eq!((reply.kept.len(), reply.superseded.len()), (1, 0));
+    let mut handed = custody_of(1, Config::default());
+    handed.hold(now, record(request, 1, 1, ""));
+    let (_, number) = first_store(&handed.hand_over(now));
+    let reply = peer::StoreReply { kept: vec![request.to_string()], superseded: vec![] };
+    handed.stored(now, number, Some(&reply));
+    let (reply, _) = handed.store(now, store_call(2, record(request, 2, 1, ""), false));
+    assert_eq!((reply.kept.len(), reply.superseded.len()), (1, 0));
+}
+
+#[test]
+fn a_leaving_node_takes_nothing() {
+    let request = id::RequestId { holder: 1, secret: 7 };
+    let mut custody = custody_of(2, Config::default());
+    let now = Duration::from_secs(1);
+    custody.hand_over(now);
+    for adopt in [false, true] {
+        let (reply, actions) = custody.store(now, store_call(1, record(request, 1, 1, ""), adopt));
+        assert_eq!((reply, actions), (peer::StoreReply::default(), Vec::new()));
+    }
+}
+
+#[test]
+fn a_copy_stored_too_late_is_released() {
+    let request = id::RequestId { holder: 1, secret: 7 };
+    let mut custody = custody_of(1, Config::default().max_ended_bytes(0));
+    let now = Duration::from_secs(1);
+    let (to, number) = first_store(&custody.hold(now, record(request, 1, 1, "")));
+    custody.finish(now, request, peer::Finish::default());
+    assert!(custody.tick(now).contains(&Action::Forget { request }));
+    let reply = peer::StoreReply { kept: vec![request.to_string()], superseded: vec![] };
+    custody.stored(now, number, Some(&reply));
+    let released = custody.tick(now).into_iter().find_map(|action| match action {
+        Action::Progress { to, call, .. } => Some((to, call.taken)),
+        _ => None,
+    });
+    assert_eq!(released, Some((to, vec![request.to_string()])));
+}
+
+#[test]
+fn a_lower_term_and_other_text_change_nothing() {
+    let mut custody = Custody::new(Config::default(), place(2));
+    let request = id::RequestId { holder: 1, secret: 7 };
+    let now = Duration::from_secs(1);
+    let (reply, _) = custody.store(now, store_call(3, record(request, 3, 2, "abc"), false));
+    assert_eq!(reply.kept.len(), 1);
+    let (reply, _) = custody.store(now, store_call(1, record(request, 1, 1, "xyz"), false));
+    assert_eq!((reply.kept.len(), reply.superseded.len()), (0, 1));
+    let item = |term, offset, text: &str| peer::Progress {
+        request: request.to_string(),
+        term,
+        offset,
+        text: text.into(),
+        ..Default::default()
+    };
+    let call = |sender, item| peer::ProgressCall { sender, items: vec![item], taken: vec![] };
+    assert_eq!(custody.follow(now, call(1, item(1, 3, "d"))).superseded.len(), 1);
+    assert_eq!(custody.follow(now, call(3, item(2, 1, "X"))).missing.len(), 1);
+    assert_eq!(custody.follow(now, call(3, item(2, 9, "d"))).missing.len(), 1);
+    assert_eq!(custody.follow(now, call(3, item(2, 2, "cd"))), peer::ProgressReply::default());
+    let actions = custody.set_places(now, [place(1), place(2)].map(|p| (p.node, p)).into());
+    assert!(actions.is_empty(), "an unknown holder has a time of grace");
+    let mut dead = place(3);
+    dead.running = false;
+    let actions = custody.set_places(now, [dead, place(2)].map(|p| (p.node, p)).into());
+    let adopted = actions.iter().find_map(|action| match action {
+        Action::Adopt { record } => Some((record.term, record.text.as_str())),
+        _ => None,
+    });
+    assert_eq!(adopted, Some((3, "abcd")));
+}
+
+#[test]
+fn answers_grow_only_by_what_continues_them() {
+    bolero::check!().with_type::<Vec<(u8, Vec<u8>)>>().with_iterations(2_000).for_each(|pieces| {
+        let mut answer = answer::Answer::default();
+        for (offset, letters) in pieces {
+            let text: String =
+                letters.iter().map(|letter| ["a", "é", "—"][*letter as usize % 3]).collect();
+            let before = answer.clone();
+            match answer.append((*offset).into(), &text, &[], 0) {
+                Ok(added) => {
+                    assert!(answer.text().starts_with(before.text()));
+                    assert_eq!(answer.text().len(), before.text().len() + added);
+                    let start = *offset as usize;
+                    assert_eq!(
+                        &answer.text().as_bytes()[start..start + text.len()],
+                        text.as_bytes()
+                    );
+                }
+                Err(_) => assert_eq!(answer, before),
+            }
+            let sum: usize = answer.chunk_bytes().iter().map(|&bytes| bytes as usize).sum();
+            assert_eq!(sum, answer.text().len());
+        }
+    });
+}
