--- a/proofs/src/claim_world.rs
+++ b/proofs/src/claim_world.rs
@@ -15,7 +15,7 @@
 
 const ORGANISATION: &str = "trust";
 const SERVICE: &str = "order-desk";
-const KEY_LIFE: Duration = Duration::from_secs(60);
+const KEY_LIFE: Duration = Duration::from_secs(15);
 const DISPATCH_BOUND: Duration = Duration::from_millis(400);
 /// Longest that an append whose answer is lost may take to appear.
 const LATEST_APPEND_MS: u64 = 5_000;
@@ -29,8 +29,8 @@
     pub nodes: usize,
     /// Whether the desk refuses old fencing numbers.
     pub checks_fencing: bool,
-    /// Whether nodes, log and desk fail.
-    pub faults: bool,
+    /// How often nodes, log and desk fail: 100 for a storm, 0 for never.
+    pub fault_percent: u32,
     /// Share of calls that name a sequence, in percent.
     pub sequence_percent: u32,
     /// Whether callers always say that they repeat a key.
@@ -47,19 +47,24 @@
         Options {
             nodes: 2 + (seed % 2) as usize,
             checks_fencing: seed.is_multiple_of(4),
-            faults: true,
+            fault_percent: 100,
             sequence_percent: if seed.is_multiple_of(3) { 40 } else { 5 },
             honest: is_short || !seed.is_multiple_of(5),
             retention: if is_short { KEY_LIFE / 20 } else { KEY_LIFE * 3 },
         }
     }
 
+    /// Like [`Options::stormy`], with a hundredth of its faults.
+    pub fn rough(seed: u64) -> Options {
+        Options { fault_percent: 1, ..Options::stormy(seed) }
+    }
+
     /// Three nodes, and nothing fails.
     pub fn calm() -> Options {
         Options {
             nodes: 3,
             checks_fencing: false,
-            faults: false,
+            fault_percent: 0,
             sequence_percent: 10,
             honest: true,
             retention: KEY_LIFE * 3,
@@ -262,21 +267,23 @@
         self.event += 1;
         self.report.events += 1;
         let draw = self.rng.random_range(0..1000);
-        if !self.options.faults {
+        if self.options.fault_percent < 100 {
             self.pass();
             self.serve_all();
         }
         match draw {
-            0..120 => self.begin(),
-            120..350 => self.read(),
+            0..80 => self.begin(),
+            80..350 => self.read(),
             350..600 => self.land(),
             600..900 => self.pass(),
             900..960 => self.tick_one(),
-            _ if !self.options.faults => {}
-            960..968 => self.pause_or_resume(),
-            968..970 => self.kill(),
-            970..978 => self.log.down = !self.log.down,
-            978..990 => self.tell_log_state(),
+            960..968 => self.resume(),
+            968..973 => self.log.down = false,
+            973..983 => self.tell_log_state(),
+            _ if !self.fails(1, 1) => {}
+            983..986 => self.pause(),
+            986..988 => self.kill(),
+            988..990 => self.log.down = true,
             990..992 => self.pass_long(),
             992..995 => self.append_garbage(),
             _ => self.log.expire(self.now, self.options.retention),
@@ -404,9 +411,20 @@
         }
     }
 
-    fn pause_or_resume(&mut self) {
+    fn pause(&mut self) {
+        let node = self.rng.random_range(0..self.nodes.len());
+        self.nodes[node].is_paused = true;
+    }
+
+    fn resume(&mut self) {
         let node = self.rng.random_range(0..self.nodes.len());
-        self.nodes[node].is_paused = !self.nodes[node].is_paused;
+        self.nodes[node].is_paused = false;
+    }
+
+    /// Whether something fails that does so in one of so many cases of a storm.
+    fn fails(&mut self, of: u32, in_cases: u32) -> bool {
+        self.rng.random_ratio(of, in_cases)
+            && self.rng.random_ratio(self.options.fault_percent, 100)
     }
 
     /// A node dies with all that it knows; another starts in its place.
@@ -513,7 +531,7 @@
         if !self.lives(node, id) {
             return;
         }
-        if self.options.faults && self.rng.random_ratio(1, 20) {
+        if self.fails(1, 20) {
             let flight = Flight::Answer { node, id, call, result: DispatchResult::NotSent };
             self.flights.push((self.now, flight));
             return;
@@ -528,7 +546,7 @@
         if self.callers.get(&call).is_some_and(|caller| caller.told.is_some()) {
             self.break_with(format!("call {call} is sent though its caller was told"));
         }
-        if self.options.faults && self.rng.random_ratio(1, 10) {
+        if self.fails(1, 10) {
             let was_refused = self.rng.random_bool(0.5);
             let result =
                 if was_refused { DispatchResult::NotSent } else { DispatchResult::Unknown };
@@ -546,7 +564,7 @@
             Reply::Refused => DispatchResult::FenceRefused,
             Reply::Ran(body) => {
                 self.note_run(call, key);
-                let is_lost = self.options.faults && self.rng.random_ratio(1, 20);
+                let is_lost = self.fails(1, 20);
                 if is_lost {
                     DispatchResult::Unknown
                 } else {
@@ -555,7 +573,7 @@
                 }
             }
         };
-        let slow = self.options.faults && self.rng.random_ratio(1, 50);
+        let slow = self.fails(1, 50);
         let delay = if slow { Duration::from_secs(4) } else { self.draw_delay(40) };
         self.flights.push((self.now + delay, Flight::Answer { node, id, call, result }));
     }
@@ -582,7 +600,7 @@
     }
 
     fn draw_delay(&mut self, most_ms: u64) -> Duration {
-        if self.options.faults && self.rng.random_ratio(1, 30) {
+        if self.fails(1, 30) {
             return Duration::from_millis(self.rng.random_range(0..most_ms * 30));
         }
         Duration::from_millis(self.rng.random_range(0..most_ms))
@@ -611,14 +629,10 @@
     }
 
     fn draw_fate(&mut self) -> Fate {
-        if !self.options.faults {
+        if !self.fails(1, 10) {
             return Fate::Kept;
         }
-        match self.rng.random_range(0..20) {
-            0 => Fate::AnswerLost,
-            1 => Fate::Lost,
-            _ => Fate::Kept,
-        }
+        if self.rng.random_bool(0.5) { Fate::AnswerLost } else { Fate::Lost }
     }
 
     fn note_claims(&mut self, node: u64, record: &[u8]) {
@@ -701,7 +715,7 @@
 
     /// Faults end, time passes, and everything must come to rest.
     fn settle(&mut self) -> Result<(), Violation> {
-        self.options.faults = false;
+        self.options.fault_percent = 0;
         self.log.down = false;
         for node in 0..self.nodes.len() {
             self.nodes[node].is_paused = false;
--- a/rhubarbrock/src/claim.rs
+++ b/rhubarbrock/src/claim.rs
@@ -254,6 +254,8 @@
     available: bool,
     /// Offset to read next; 0 before the first page.
     next: Offset,
+    /// Offset of the first record that the table may hold.
+    table_start: Offset,
     /// End of the log at the first page read since the start or a gap.
     start_end: Offset,
     /// Log time from which on the table is whole; 0 where it is from the first record on. `None`
@@ -284,6 +286,7 @@
             ends: BTreeMap::new(),
             available: true,
             next: 0,
+            table_start: 0,
             start_end: 0,
             whole_from_ms: None,
             wall: Duration::ZERO,
@@ -469,6 +472,7 @@
         }
         self.table.reset();
         self.next = page.oldest;
+        self.table_start = page.oldest;
         self.start_end = page.end;
         self.whole_from_ms = (page.oldest <= 1).then_some(0);
     }
@@ -514,6 +518,7 @@
             table: &self.table,
             is_caught_up: self.is_caught_up(),
             is_available: self.available,
+            table_start: self.table_start,
             covers_key_life: self.covers_key_life(),
         };
         match claim_call::judge(&view, call) {
--- a/rhubarbrock/src/claim_call.rs
+++ b/rhubarbrock/src/claim_call.rs
@@ -84,6 +84,8 @@
     pub(crate) table: &'a Table,
     pub(crate) is_caught_up: bool,
     pub(crate) is_available: bool,
+    /// Offset of the first record that the table may hold.
+    pub(crate) table_start: Offset,
     pub(crate) covers_key_life: bool,
 }
 
@@ -110,6 +112,27 @@
 
 /// What to do next with a call.
 pub(crate) fn judge(view: &View<'_>, call: &Call) -> Step {
+    let step = judge_in_time(view, call);
+    let held_its_key = matches!(call.stage, Stage::Dispatching { .. } | Stage::Dispatched { .. });
+    if held_its_key { step } else { distrust(view, call, step) }
+}
+
+/// Keeps a call from running, or from being told that none ran, where records about its key may
+/// have been lost before this node read them: records since the call arrived, in which a
+/// repetition may have overtaken it, or older ones, in which an earlier call may have run.
+fn distrust(view: &View<'_>, call: &Call, step: Step) -> Step {
+    let has_gap = call.base + 1 < view.table_start;
+    match step {
+        Step::Claim if has_gap && !call.new.repeated => Step::Refuse(NotRun::LogSlow),
+        Step::Dispatch { .. } if has_gap && !call.new.repeated => Step::EndNotRun(NotRun::LogSlow),
+        step if !call.new.repeated || (view.covers_key_life && !has_gap) => step,
+        Step::Claim | Step::Tell(Conclusion::NotRun { .. }) => in_doubt(InDoubt::LogTooShort),
+        Step::Dispatch { .. } | Step::EndNotRun(_) => Step::EndInDoubt(InDoubt::LogTooShort),
+        step => step,
+    }
+}
+
+fn judge_in_time(view: &View<'_>, call: &Call) -> Step {
     let step = judge_stage(view, call);
     if call.told || view.now <= call.begun + view.config.conclusion_limit() {
         return step;
@@ -197,9 +220,6 @@
     let now = view.now;
     let config = view.config;
     match call.stage {
-        Stage::Waiting if call.new.repeated && !view.covers_key_life => {
-            in_doubt(InDoubt::LogTooShort)
-        }
         Stage::Waiting | Stage::Queued { .. } if !view.is_available => {
             Step::Refuse(NotRun::LogUnavailable)
         }
@@ -235,6 +255,7 @@
         (State::Open, Stage::Refusing { reason, .. }) => Step::EndNotRun(reason),
         (State::Open, _) => Step::EndNotRun(NotRun::LogSlow),
         (_, _) if call.told => Step::Drop,
+        (State::Expired, _) => Step::Tell(Conclusion::KeyExpired),
         (State::NotRun { .. }, Stage::Refusing { reason, .. }) => {
             Step::Tell(view.config.not_run(reason))
         }
@@ -247,9 +268,6 @@
     if view.now > sent_at + view.config.dispatch_bound {
         return Step::EndNotRun(NotRun::LogSlow);
     }
-    if call.new.repeated && !view.covers_key_life {
-        return Step::EndInDoubt(InDoubt::LogTooShort);
-    }
     let turn = call.place.map_or(Turn::Now, |place| view.table.turn(place, call.nonce));
     match turn {
         Turn::Now => Step::Dispatch { fence, sent_at },
