--- a/rhubarbrock/src/claim.rs
+++ b/rhubarbrock/src/claim.rs
@@ -295,6 +295,12 @@
         }
     }
 
+    /// Takes the release note's life of a key.
+    pub fn set_key_life(&mut self, life: Duration) {
+        self.config.key_life = life;
+        self.table.set_key_life(life);
+    }
+
     /// Offset to read topic "claims" from; 1 before the first page.
     pub fn next_offset(&self) -> Offset {
         self.next.max(1)
--- a/rhubarbrock/src/claim_table.rs
+++ b/rhubarbrock/src/claim_table.rs
@@ -150,6 +150,11 @@
         }
     }
 
+    /// Takes another life of keys; keys that have expired stay so.
+    pub(crate) fn set_key_life(&mut self, key_life: Duration) {
+        self.key_life_ms = key_life.as_millis() as u64;
+    }
+
     /// Forgets all but the counters.
     pub(crate) fn reset(&mut self) {
         let bad_records = self.bad_records;
