--- a/proofs/src/lib.rs
+++ b/proofs/src/lib.rs
@@ -8,8 +8,16 @@
 pub mod claim_desk;
 pub mod claim_log;
 pub mod claim_world;
+pub mod fake_callers;
+pub mod fake_engine;
+pub mod fake_node;
+pub mod fake_topics;
+pub mod node_world;
 pub mod poison_world;
 
+mod node_faults;
+mod node_setup;
+
 use derive_more::{Display, Error};
 
 /// A broken invariant.
--- /dev/null
+++ b/proofs/src/node_faults.rs
@@ -0,0 +1,163 @@
+//! Faults of a world of whole nodes.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rhubarbrock::event;
+
+use crate::Violation;
+use crate::node_world::{Due, World};
+
+/// Data centres.
+pub(crate) const DATA_CENTRES: usize = 3;
+
+/// Time between two losses that nobody announced. Two copies do not outlive two of them at once.
+const UNANNOUNCED_GAP: Duration = Duration::from_secs(20);
+
+/// Injects one fault.
+pub(crate) fn inject(world: &mut World) -> Result<(), Violation> {
+    world.count_fault();
+    match world.rng.random_range(0..9) {
+        0 | 1 => reclaim(world),
+        2 => kill_node(world),
+        3 => pause_node(world),
+        4 => terminate_node(world),
+        5 => crash_engine(world),
+        6 => {
+            let down = Duration::from_millis(world.rng.random_range(500..15_000));
+            world.topics.down_until = world.now + down;
+        }
+        7 => {
+            let down = Duration::from_millis(world.rng.random_range(500..20_000));
+            world.list_down_until = world.now + down;
+        }
+        _ => reclaim_one(world),
+    }
+    Ok(())
+}
+
+fn running_slots(world: &World) -> Vec<usize> {
+    let running = |slot: &usize| world.slots[*slot].is_running() && !world.slots[*slot].is_paused();
+    (0..world.slots.len()).filter(running).collect()
+}
+
+fn pick(world: &mut World, slots: &[usize]) -> Option<usize> {
+    if slots.is_empty() {
+        return None;
+    }
+    Some(slots[world.rng.random_range(0..slots.len())])
+}
+
+/// Whether a loss without notice is due; no other loss may come while it is repaired.
+fn may_lose(world: &mut World) -> bool {
+    if world.now < world.quiet_until {
+        return false;
+    }
+    world.quiet_until = world.now + UNANNOUNCED_GAP;
+    true
+}
+
+fn kill_node(world: &mut World) {
+    let running = running_slots(world);
+    if running.len() < world.slots.len() || !may_lose(world) {
+        return;
+    }
+    let Some(slot) = pick(world, &running) else { return };
+    let process = world.slots[slot].process;
+    world.kill(slot, process);
+    let wait = Duration::from_millis(world.rng.random_range(500..9_000));
+    world.after(wait, Due::Start { slot });
+}
+
+fn pause_node(world: &mut World) {
+    let running = running_slots(world);
+    if running.len() < world.slots.len() || !may_lose(world) {
+        return;
+    }
+    let Some(slot) = pick(world, &running) else { return };
+    let process = world.slots[slot].process;
+    world.slots[slot].pause();
+    let wait = Duration::from_millis(world.rng.random_range(100..12_000));
+    world.after(wait, Due::Resume { slot, process });
+}
+
+fn terminate_node(world: &mut World) {
+    let running = running_slots(world);
+    if running.len() < world.slots.len() || !may_lose(world) {
+        return;
+    }
+    let Some(slot) = pick(world, &running) else { return };
+    let process = world.slots[slot].process;
+    world.after(Duration::ZERO, Due::Terminate { slot, process });
+    if world.rng.random_bool(0.5) {
+        let wait = Duration::from_millis(world.rng.random_range(1..3_000));
+        world.after(wait, Due::Terminate { slot, process });
+    }
+}
+
+fn crash_engine(world: &mut World) {
+    let ids: Vec<u64> = world.engines.keys().copied().collect();
+    let endpoint = ids[world.rng.random_range(0..ids.len())];
+    let away = Duration::from_millis(world.rng.random_range(200..5_000));
+    let until = world.now + away;
+    if let Some(engine) = world.engines.get_mut(&endpoint) {
+        engine.away_until = until;
+    }
+}
+
+/// One endpoint is given notice.
+fn reclaim_one(world: &mut World) {
+    let ids: Vec<u64> = world.engines.keys().copied().collect();
+    let endpoint = ids[world.rng.random_range(0..ids.len())];
+    let notice = Duration::from_millis(world.rng.random_range(2_000..12_000));
+    let now = world.now;
+    let Some(engine) = world.engines.get_mut(&endpoint) else { return };
+    if engine.notice_at.is_some() {
+        return;
+    }
+    engine.notice_at = Some(now);
+    engine.gone_at = Some(now + notice);
+    let data_centre = engine.data_centre;
+    let leave_at = World::wall(now + notice);
+    world.announce(vec![event::Notice { instance: endpoint, leave_at }]);
+    world.after(notice + Duration::from_secs(1), Due::Replace { data_centre });
+}
+
+/// A whole data centre is reclaimed on a notice of seconds.
+fn reclaim(world: &mut World) {
+    let running = running_slots(world);
+    if running.len() < world.slots.len() || !may_lose(world) {
+        return;
+    }
+    let data_centre = world.rng.random_range(0..DATA_CENTRES);
+    let notice = Duration::from_millis(world.rng.random_range(4_000..12_000));
+    let leave_at = world.now + notice;
+    let mut notices = Vec::new();
+    let now = world.now;
+    for engine in world.engines.values_mut() {
+        if engine.data_centre == data_centre && engine.notice_at.is_none() {
+            engine.notice_at = Some(now);
+            engine.gone_at = Some(leave_at);
+            let leave_at = World::wall(leave_at);
+            notices.push(event::Notice { instance: engine.endpoint, leave_at });
+        }
+    }
+    for slot in 0..world.slots.len() {
+        if slot % DATA_CENTRES != data_centre {
+            continue;
+        }
+        let process = world.slots[slot].process;
+        let instance = world.slots[slot].instance;
+        notices.push(event::Notice { instance, leave_at: World::wall(leave_at) });
+        // Some processes die partway through.
+        let dies_early = world.rng.random_bool(0.3);
+        let share = if dies_early { world.rng.random_range(0.05..1.0) } else { 1.0 };
+        let dies_at = now + notice.mul_f64(share);
+        world.at(dies_at, Due::Kill { slot, process });
+        let wait = Duration::from_millis(world.rng.random_range(1_000..9_000));
+        world.at(leave_at + wait, Due::Start { slot });
+    }
+    world.announce(notices);
+    let wait = Duration::from_millis(world.rng.random_range(500..8_000));
+    world.at(leave_at + wait, Due::Replace { data_centre });
+}
--- /dev/null
+++ b/proofs/src/node_setup.rs
@@ -0,0 +1,199 @@
+//! Settings, calls and lists for worlds of whole nodes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use prost::Message;
+use rhubarbrock::{event, id, node, prompt};
+use rhubarbrock_schema::{log, release};
+use sha2::{Digest, Sha256};
+
+use crate::fake_engine::Engine;
+use crate::fake_node::{Slot, address};
+
+/// The organisation that asks.
+pub(crate) const ORGANISATION: &str = "quabbin";
+
+const KEY: &str = "demo-key";
+const MODEL_SERVICE: &str = "guide-writers";
+const DESK_SERVICE: &str = "order-desk";
+
+/// Digest of the organisation's key.
+pub(crate) fn key_sha256() -> event::Sha256 {
+    Sha256::digest(KEY).into()
+}
+
+/// A log record with the note that brings everything in force.
+pub(crate) fn release_note() -> Vec<u8> {
+    let model = release::Service {
+        name: MODEL_SERVICE.to_owned(),
+        kind: release::ServiceKind::Model.into(),
+        model: "guide-writer".to_owned(),
+        classes: vec!["small".to_owned()],
+        timeout_ms: 300_000,
+        ..rhubarbrock::defaults::service(release::ServiceKind::Model)
+    };
+    let order =
+        release::Route { method: "POST".to_owned(), path: "orders".to_owned(), repeatable: false };
+    let desk = release::Service {
+        name: DESK_SERVICE.to_owned(),
+        kind: release::ServiceKind::Plain.into(),
+        routes: vec![order],
+        classes: vec!["small".to_owned()],
+        timeout_ms: 5_000,
+        ..rhubarbrock::defaults::service(release::ServiceKind::Plain)
+    };
+    let organisation = release::Organisation {
+        name: ORGANISATION.to_owned(),
+        key_sha256s: vec![hex::encode(key_sha256())],
+        max_requests_per_node: 0,
+    };
+    let entries =
+        release::Entries { organisations: vec![organisation], services: vec![model, desk] };
+    let note = release::ReleaseNote {
+        title: "all".to_owned(),
+        added: Some(entries),
+        policy: Some(release::Policy { answer_life_s: 200, ..rhubarbrock::defaults::policy() }),
+        ..Default::default()
+    };
+    let published = log::PublishedNote {
+        base_version: 0,
+        nonce: 1,
+        author: "world".to_owned(),
+        note: Some(note),
+    };
+    let body = log::release_record::Body::Published(published);
+    log::ReleaseRecord { body: Some(body) }.encode_to_vec()
+}
+
+/// Settings of the process at a place.
+pub(crate) fn config(
+    slot: usize,
+    instance: id::InstanceId,
+    random: u64,
+    started_at: Duration,
+) -> node::Config {
+    let peer_address = address(Slot::port(slot));
+    node::Config {
+        node: random.max(1),
+        name: format!("node-{slot}"),
+        data_centre: data_centre(slot % 3),
+        region: "new-england".to_owned(),
+        instance,
+        caller_address: address(1_000 + slot as u16),
+        peer_address,
+        seeds: Vec::new(),
+        probe_interval: Duration::from_secs(1),
+        drain_limit: Some(Duration::from_secs(4)),
+        started_at,
+        random_seed: random,
+    }
+}
+
+/// Name of a data centre.
+pub(crate) fn data_centre(index: usize) -> String {
+    format!("dc-{index}")
+}
+
+/// Body of a caller's request.
+pub(crate) fn body(number: usize) -> String {
+    format!("{{\"messages\":[{{\"role\":\"user\",\"content\":\"tell me of gourd {number}\"}}]}}")
+}
+
+/// A completion asked for.
+pub(crate) fn model_call(
+    call: event::CallId,
+    body: String,
+    tokens: u32,
+    secret: u128,
+) -> event::CallerEvent {
+    let prompt = prompt::Prompt::of_text(&body);
+    event::CallerEvent::Model(Box::new(event::ModelCall {
+        call,
+        key_sha256: key_sha256(),
+        service: MODEL_SERVICE.to_owned(),
+        path: "/v1/chat/completions".to_owned(),
+        fingerprint: prompt::fingerprint(MODEL_SERVICE, &body),
+        body,
+        is_chat: true,
+        streamed: true,
+        stream_usage: false,
+        max_tokens: Some(tokens),
+        blocks: prompt.blocks,
+        prompt_tokens: prompt.tokens,
+        dialogue: prompt.dialogue,
+        settled_tokens: 0,
+        deadline: None,
+        secret,
+    }))
+}
+
+/// An order.
+pub(crate) fn order_call(call: event::CallId, key: String, secret: u128) -> event::CallerEvent {
+    event::CallerEvent::Plain(Box::new(event::PlainCall {
+        call,
+        key_sha256: key_sha256(),
+        service: DESK_SERVICE.to_owned(),
+        method: "POST".to_owned(),
+        path: "orders".to_owned(),
+        query: String::new(),
+        content_type: "application/json".to_owned(),
+        body: b"{}".to_vec(),
+        request_sha256: Sha256::digest(&key).into(),
+        idempotency_key: Some(key),
+        is_repetition: false,
+        key_created: None,
+        sequence: None,
+        deadline: None,
+        secret,
+    }))
+}
+
+/// An engine in the list.
+pub(crate) fn endpoint(
+    engine: &Engine,
+    state: event::InstanceState,
+    address: SocketAddr,
+) -> event::Instance {
+    event::Instance {
+        id: engine.endpoint,
+        kind: event::InstanceKind::Endpoint,
+        data_centre: data_centre(engine.data_centre),
+        class: "small".to_owned(),
+        market: event::Market::Reclaimable,
+        state,
+        service: MODEL_SERVICE.to_owned(),
+        address,
+        peer_address: None,
+    }
+}
+
+/// The desk in the list.
+pub(crate) fn desk(endpoint: id::EndpointId) -> event::Instance {
+    event::Instance {
+        id: endpoint,
+        kind: event::InstanceKind::Endpoint,
+        data_centre: data_centre(0),
+        class: "small".to_owned(),
+        market: event::Market::OnDemand,
+        state: event::InstanceState::Live,
+        service: DESK_SERVICE.to_owned(),
+        address: address(9_000),
+        peer_address: None,
+    }
+}
+
+/// A node's instance in the list.
+pub(crate) fn entry(instance: id::InstanceId, slot: usize) -> event::Instance {
+    event::Instance {
+        id: instance,
+        kind: event::InstanceKind::Entry,
+        data_centre: data_centre(slot % 3),
+        class: "entry".to_owned(),
+        market: event::Market::Reclaimable,
+        state: event::InstanceState::Live,
+        service: String::new(),
+        address: address(1_000 + slot as u16),
+        peer_address: Some(address(Slot::port(slot))),
+    }
+}
--- a/rhubarbrock/src/action.rs
+++ b/rhubarbrock/src/action.rs
@@ -5,8 +5,7 @@
 
 use rhubarbrock_schema::peer;
 
-use crate::event;
-use crate::id;
+use crate::{custody, event, id};
 
 /// One thing to do. Actions are carried out in order.
 #[derive(Debug, Clone)]
@@ -67,6 +66,13 @@
         /// The end.
         finish: peer::Finish,
     },
+    /// Another node goes on with an answer; whoever reads it here reads on there.
+    MoveAnswer {
+        /// The request.
+        request: id::RequestId,
+        /// Nodes to read on from, in order.
+        nodes: Vec<PeerAddress>,
+    },
     /// Forget an answer.
     DropAnswer {
         /// The request.
@@ -113,6 +119,8 @@
     SendStore {
         /// Receiver.
         to: PeerAddress,
+        /// Number of the call.
+        number: custody::CallNumber,
         /// Call.
         call: peer::StoreCall,
     },
@@ -120,6 +128,8 @@
     SendProgress {
         /// Receiver.
         to: PeerAddress,
+        /// Number of the call.
+        number: custody::CallNumber,
         /// Call.
         call: peer::ProgressCall,
     },
--- a/rhubarbrock/src/custody.rs
+++ b/rhubarbrock/src/custody.rs
@@ -327,6 +327,15 @@
         self.held.values().filter(is_single).count()
     }
 
+    /// Ended answers that neither the caller nor a custodian is known to have whole.
+    pub fn unsettled_len(&self) -> usize {
+        let is_unsettled = |held: &&Held| {
+            let has_copy = matches!(held.copy, Copy2::Kept { finished: true, .. });
+            held.answer.finish().is_some() && !held.taken && !has_copy
+        };
+        self.held.values().filter(is_unsettled).count()
+    }
+
     /// Number of copies kept for other nodes.
     pub fn kept_len(&self) -> usize {
         self.kept.len()
--- a/rhubarbrock/src/digest.rs
+++ b/rhubarbrock/src/digest.rs
@@ -35,7 +35,7 @@
 enum Key {
     Suspect(id::Fingerprint),
     Load(id::EndpointId),
-    Usage(id::NodeId, String),
+    Usage(id::NodeId, String, String),
 }
 
 /// Place in the order in which items are told.
@@ -202,7 +202,9 @@
 fn key(item: &Item) -> Key {
     match item {
         Item::Load(load) => Key::Load(load.endpoint),
-        Item::Usage(usage) => Key::Usage(usage.node, usage.organisation.clone()),
+        Item::Usage(usage) => {
+            Key::Usage(usage.node, usage.service.clone(), usage.organisation.clone())
+        }
         Item::Suspect(suspect) => Key::Suspect(suspect.fingerprint),
     }
 }
--- a/rhubarbrock/src/dispatch.rs
+++ b/rhubarbrock/src/dispatch.rs
@@ -325,6 +325,30 @@
         self.retries.entry(service).or_default().push_back(ticket);
     }
 
+    /// A request that was accepted before, here or at another node, goes on: before those that
+    /// wait, and whatever the load.
+    pub fn resume(&mut self, now: Duration, job: Job) {
+        let (ticket, service) = (job.ticket, job.service.clone());
+        let entry = Entry {
+            arrived_at: now,
+            deadline: None,
+            expected_wait: Duration::ZERO,
+            exclude: Vec::new(),
+            attempt: None,
+            job,
+        };
+        let before = self.entries.insert(ticket, entry);
+        assert!(before.is_none(), "a ticket is submitted once");
+        self.retries.entry(service).or_default().push_back(ticket);
+    }
+
+    /// Sets the endpoints that a waiting request must not be sent to.
+    pub fn exclude(&mut self, ticket: fairness::Ticket, endpoints: &[id::EndpointId]) {
+        if let Some(entry) = self.entries.get_mut(&ticket) {
+            entry.exclude = endpoints.to_vec();
+        }
+    }
+
     /// A request is over without an answer; returns the attempt in flight, to be cancelled.
     pub fn give_up(&mut self, now: Duration, ticket: fairness::Ticket) -> Option<id::AttemptId> {
         let entry = self.entries.remove(&ticket)?;
--- a/rhubarbrock/src/event.rs
+++ b/rhubarbrock/src/event.rs
@@ -5,7 +5,7 @@
 
 use rhubarbrock_schema::{observe, peer};
 
-use crate::id;
+use crate::{custody, id};
 
 /// Number of a caller's call while it waits for a decision, unique within a node.
 pub type CallId = u64;
@@ -241,6 +241,8 @@
         /// Why.
         message: String,
     },
+    /// Nothing came for too long after the request was sent.
+    TimedOut,
     /// This node cancelled the attempt.
     Cancelled,
 }
@@ -482,10 +484,8 @@
     },
     /// The answer to a store call of this node; `None` where there was none.
     StoreReplied {
-        /// Node that was called.
-        to: id::NodeId,
-        /// Requests in the call.
-        requests: Vec<id::RequestId>,
+        /// Number of the call.
+        number: custody::CallNumber,
         /// The answer.
         reply: Option<peer::StoreReply>,
     },
@@ -493,6 +493,8 @@
     ProgressReplied {
         /// Node that was called.
         to: id::NodeId,
+        /// Number of the call.
+        number: custody::CallNumber,
         /// The answer.
         reply: Option<peer::ProgressReply>,
     },
--- a/rhubarbrock/src/node.rs
+++ b/rhubarbrock/src/node.rs
@@ -11,8 +11,9 @@
 use rhubarbrock_schema::{peer, release as schema};
 
 use crate::{
-    action, claim, counter, dispatch, event, fairness, id, membership, node_model, node_plain,
-    node_platform, release, snapshot, timeline,
+    action, claim, counter, custody, dispatch, drain, event, fairness, id, membership,
+    node_custody, node_model, node_plain, node_platform, placement, quarantine, release, retry,
+    snapshot, timeline,
 };
 
 /// Time that a node may serve by a release after it heard of a higher version.
@@ -32,6 +33,8 @@
     pub data_centre: String,
     /// Region, empty where not said.
     pub region: String,
+    /// Time of the process's start since the Unix epoch.
+    pub started_at: Duration,
     /// Platform's number of the instance, 0 for none.
     pub instance: id::InstanceId,
     /// Where callers are served.
@@ -69,6 +72,13 @@
     pub(crate) dispatcher: dispatch::Dispatcher,
     pub(crate) claims: claim::Claims,
     pub(crate) membership: membership::Membership,
+    pub(crate) custody: custody::Custody,
+    pub(crate) drain: drain::Drain,
+    pub(crate) retries: retry::Retries,
+    pub(crate) quarantine: quarantine::Quarantine,
+    /// Last crash of each endpoint.
+    pub(crate) crashes: BTreeMap<id::EndpointId, Duration>,
+    pub(crate) waiting_finds: Vec<node_custody::WaitingFind>,
     pub(crate) platform: node_platform::View,
     pub(crate) models: BTreeMap<id::RequestId, node_model::ModelRequest>,
     pub(crate) plains: BTreeMap<event::CallId, node_plain::PlainRequest>,
@@ -85,7 +95,6 @@
     next_slow_tick: Duration,
     pub(crate) wall: Duration,
     pub(crate) is_ready: bool,
-    pub(crate) is_draining: bool,
 }
 
 impl Node {
@@ -112,6 +121,12 @@
             dispatcher,
             claims,
             membership,
+            custody: custody::Custody::new(custody::Config::default(), own_place(&config)),
+            drain: drain::Drain::new(drain_config(&config)),
+            retries: retry::Retries::new(retry::Config::new(), config.random_seed),
+            quarantine: quarantine::Quarantine::new(quarantine::Config::default()),
+            crashes: BTreeMap::new(),
+            waiting_finds: Vec::new(),
             platform: node_platform::View::default(),
             models: BTreeMap::new(),
             plains: BTreeMap::new(),
@@ -127,7 +142,6 @@
             next_slow_tick: Duration::ZERO,
             wall: Duration::ZERO,
             is_ready: false,
-            is_draining: false,
             config,
         }
     }
@@ -166,6 +180,7 @@
         self.set_time(now, wall);
         self.tick_claims();
         self.tick_peers();
+        self.tick_custody();
         self.release_delayed();
         if self.now >= self.next_slow_tick {
             self.next_slow_tick = self.now + SLOW_TICK_INTERVAL;
@@ -173,6 +188,8 @@
             self.tick_plains();
             self.tick_platform();
             self.tick_drain();
+            self.tell_news();
+            self.quarantine.tick(self.now);
         }
         self.dispatch();
         self.take_actions()
@@ -236,7 +253,12 @@
             }
             self.delayed.remove(&(due, ticket));
             let exclude = match self.work.get(&ticket) {
-                Some(Work::Model(request)) => self.models[request].excluded(),
+                Some(Work::Model(request)) => {
+                    let held = &self.models[request];
+                    let mut exclude = held.excluded();
+                    exclude.extend(self.closed_to(held.record.fingerprint));
+                    exclude
+                }
                 Some(Work::Plain(call)) => self.plains[call].excluded(),
                 None => continue,
             };
@@ -310,7 +332,7 @@
         key_sha256: &event::Sha256,
     ) -> Option<String> {
         let wait = Some(Duration::from_secs(1));
-        if self.is_draining {
+        if self.is_leaving() {
             let detail = "this node is leaving; send the request again";
             self.refuse(call, action::RefusalKind::Unavailable, detail, wait);
             return None;
@@ -394,6 +416,21 @@
     }
 }
 
+fn own_place(config: &Config) -> placement::Place {
+    placement::Place {
+        node: config.node,
+        data_centre: config.data_centre.clone(),
+        region: config.region.clone(),
+        running: true,
+        leaving: false,
+    }
+}
+
+fn drain_config(config: &Config) -> drain::Config {
+    let default = drain::Config::default();
+    drain::Config { limit: config.drain_limit.unwrap_or(default.limit), ..default }
+}
+
 fn own_record(config: &Config) -> peer::Member {
     peer::Member {
         node: config.node,
@@ -402,6 +439,8 @@
         datagram_address: config.peer_address.to_string(),
         peer_address: config.peer_address.to_string(),
         caller_address: config.caller_address.to_string(),
+        region: config.region.clone(),
+        started_at_ms: config.started_at.as_millis() as u64,
         instance: config.instance,
         ..Default::default()
     }
--- /dev/null
+++ b/rhubarbrock/src/node_custody.rs
@@ -0,0 +1,268 @@
+//! A node's copies of requests: its own at other nodes, and others' here.
+
+use std::time::Duration;
+
+use rhubarbrock_schema::peer;
+
+use crate::node::{Node, Work};
+use crate::{action, custody, dispatch, event, id, prompt};
+
+/// Longest life of an adopted request whose service is not known here.
+const ADOPTED_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Text marks that wait for a caller at another node.
+const MAX_WAITING_FINDS: usize = 4_096;
+
+/// A question of another node that waits for more text.
+#[derive(Debug, Clone)]
+pub(crate) struct WaitingFind {
+    rpc: event::RpcId,
+    request: id::RequestId,
+    organisation: String,
+    offset: u64,
+    until: Duration,
+}
+
+/// Text of an answer since the last mark.
+#[derive(Debug, Clone)]
+pub(crate) struct Mark {
+    pub(crate) offset: u64,
+    pub(crate) text: String,
+    pub(crate) chunk_bytes: Vec<u32>,
+    pub(crate) tokens: u32,
+}
+
+impl Node {
+    /// Gives a request's record to another node.
+    pub(crate) fn keep_copy(&mut self, record: peer::RequestRecord) {
+        let actions = self.custody.hold(self.now, record);
+        self.perform_custody(actions);
+    }
+
+    /// Tells the custodian of new text; false where the request does not run here any more.
+    pub(crate) fn keep_progress(&mut self, request: id::RequestId, mark: Mark) -> bool {
+        let progress = peer::Progress {
+            request: request.to_string(),
+            offset: mark.offset,
+            text: mark.text,
+            chunk_bytes: mark.chunk_bytes,
+            tokens: mark.tokens,
+            ..Default::default()
+        };
+        let is_running = self.custody.progress(request, &progress);
+        self.answer_finds(request);
+        is_running
+    }
+
+    /// Tells the custodian of the end.
+    pub(crate) fn keep_finish(&mut self, request: id::RequestId, finish: peer::Finish) {
+        self.custody.finish(self.now, request, finish);
+        self.answer_finds(request);
+    }
+
+    pub(crate) fn on_taken(&mut self, request: id::RequestId) {
+        self.custody.taken(request);
+    }
+
+    /// Ended answers that neither the caller nor another node has whole.
+    pub(crate) fn unsettled_answers(&self) -> usize {
+        if self.peers_alive() == 0 {
+            return 0;
+        }
+        self.custody.unsettled_len()
+    }
+
+    pub(crate) fn kept_copies(&self) -> usize {
+        self.custody.kept_len()
+    }
+
+    pub(crate) fn perform_custody(&mut self, actions: Vec<custody::Action>) {
+        for action in actions {
+            match action {
+                custody::Action::Store { to, number, call } => self.send_store(to, number, call),
+                custody::Action::Progress { to, number, call } => {
+                    self.send_progress(to, number, call);
+                }
+                custody::Action::Accepted { request, copies } => {
+                    self.on_kept(request, copies);
+                }
+                custody::Action::Adopt { record } => self.adopt(*record),
+                custody::Action::Superseded { request, by } => self.on_superseded(request, by),
+                custody::Action::Forget { request } => self.forget_model(request),
+            }
+        }
+    }
+
+    fn send_store(&mut self, to: id::NodeId, number: custody::CallNumber, call: peer::StoreCall) {
+        match self.peer_address(to) {
+            Some(to) => self.act(action::Action::SendStore { to, number, call }),
+            None => {
+                let actions = self.custody.stored(self.now, number, None);
+                self.perform_custody(actions);
+            }
+        }
+    }
+
+    fn send_progress(
+        &mut self,
+        to: id::NodeId,
+        number: custody::CallNumber,
+        call: peer::ProgressCall,
+    ) {
+        match self.peer_address(to) {
+            Some(to) => self.act(action::Action::SendProgress { to, number, call }),
+            None => {
+                let actions = self.custody.progressed(self.now, to, number, None);
+                self.perform_custody(actions);
+            }
+        }
+    }
+
+    fn on_kept(&mut self, request: id::RequestId, copies: u32) {
+        if copies < 2 {
+            self.counters.single_copy += 1;
+            self.note("request.single_copy", Some(request), String::new());
+        }
+        if let Some(held) = self.models.get_mut(&request) {
+            held.is_kept = true;
+        }
+        self.accept_if_due(request);
+    }
+
+    /// Runs a request of a node that died or left.
+    fn adopt(&mut self, record: peer::RequestRecord) {
+        let Ok(request) = record.request.parse::<id::RequestId>() else { return };
+        self.counters.adopted += 1;
+        let detail = format!("term {}, from {} tokens on", record.term, record.tokens);
+        self.note("request.adopted", Some(request), detail);
+        let timeout = match self.services.get(&record.service) {
+            Some(service) => Duration::from_millis(u64::from(service.timeout_ms)),
+            None => ADOPTED_TIMEOUT,
+        };
+        let ticket = self.new_ticket(Work::Model(request));
+        self.dispatcher.resume(self.now, adopted_job(ticket, &record));
+        self.open_model(request, record, ticket, timeout, None);
+    }
+
+    /// Another node runs the request under a higher term.
+    fn on_superseded(&mut self, request: id::RequestId, by: id::NodeId) {
+        let Some(held) = self.models.remove(&request) else { return };
+        self.counters.superseded += 1;
+        if self.is_leaving() {
+            self.counters.handed_over += 1;
+        }
+        self.end_work(held.ticket);
+        let detail = format!("node {by:016x} goes on with it");
+        self.note("request.moved", Some(request), detail);
+        let mut nodes: Vec<action::PeerAddress> = self.peer_address(by).into_iter().collect();
+        nodes.extend(self.nodes_to_ask(request).into_iter().filter(|other| other.node != by));
+        if let Some(call) = held.waiting_call {
+            self.act(action::Action::Attach { call, request, offset: 0 });
+        }
+        self.act(action::Action::MoveAnswer { request, nodes });
+    }
+
+    fn forget_model(&mut self, request: id::RequestId) {
+        if let Some(held) = self.models.remove(&request) {
+            self.end_work(held.ticket);
+        }
+        self.act(action::Action::DropAnswer { request });
+    }
+
+    pub(crate) fn on_store(&mut self, rpc: event::RpcId, call: peer::StoreCall) {
+        let (reply, actions) = self.custody.store(self.now, call);
+        self.act(action::Action::Reply { rpc, reply: event::Reply::Store(reply) });
+        self.perform_custody(actions);
+    }
+
+    pub(crate) fn on_progress_call(&mut self, rpc: event::RpcId, call: peer::ProgressCall) {
+        let reply = self.custody.follow(self.now, call);
+        self.act(action::Action::Reply { rpc, reply: event::Reply::Progress(reply) });
+    }
+
+    pub(crate) fn on_find(&mut self, rpc: event::RpcId, call: &peer::FindCall) {
+        let Ok(request) = call.request.parse::<id::RequestId>() else {
+            self.reply_find(rpc, peer::FindReply::default());
+            return;
+        };
+        if let Some(answer) = self.answered.get(request, &call.organisation) {
+            let plain = peer::PlainReply {
+                status: u32::from(answer.status),
+                content_type: answer.content_type,
+                body: answer.body,
+            };
+            self.reply_find(rpc, peer::FindReply { plain: Some(plain), ..Default::default() });
+            return;
+        }
+        let waiting = WaitingFind {
+            rpc,
+            request,
+            organisation: call.organisation.clone(),
+            offset: call.offset,
+            until: self.now + Duration::from_millis(u64::from(call.wait_ms)),
+        };
+        if !self.answer_find(&waiting) && self.waiting_finds.len() < MAX_WAITING_FINDS {
+            self.waiting_finds.push(waiting);
+        }
+    }
+
+    /// Answers a question where there is text, an end or no hope of either; false where it waits.
+    fn answer_find(&mut self, waiting: &WaitingFind) -> bool {
+        let reply =
+            self.custody.find(self.now, waiting.request, &waiting.organisation, waiting.offset);
+        let has_news = !reply.text.is_empty() || reply.finish.is_some();
+        let is_open = reply.state() == peer::FindState::Held && !has_news;
+        if is_open && self.now < waiting.until {
+            return false;
+        }
+        self.reply_find(waiting.rpc, reply);
+        true
+    }
+
+    fn reply_find(&mut self, rpc: event::RpcId, reply: peer::FindReply) {
+        let reply = event::Reply::Find(Box::new(reply));
+        self.act(action::Action::Reply { rpc, reply });
+    }
+
+    fn answer_finds(&mut self, request: id::RequestId) {
+        if self.waiting_finds.is_empty() {
+            return;
+        }
+        let waiting = std::mem::take(&mut self.waiting_finds);
+        for find in waiting {
+            if find.request != request || !self.answer_find(&find) {
+                self.waiting_finds.push(find);
+            }
+        }
+    }
+
+    pub(crate) fn tick_custody(&mut self) {
+        let actions = self.custody.tick(self.now);
+        self.perform_custody(actions);
+        let waiting = std::mem::take(&mut self.waiting_finds);
+        for find in waiting {
+            if self.now < find.until || !self.answer_find(&find) {
+                self.waiting_finds.push(find);
+            }
+        }
+    }
+}
+
+/// The job of a request whose body was checked by the node that accepted it.
+fn adopted_job(ticket: u64, record: &peer::RequestRecord) -> dispatch::Job {
+    let body = serde_json::from_str(&record.body).unwrap_or_default();
+    let prompt = prompt::Prompt::of_chat(&body).or_else(|_| prompt::Prompt::of_completion(&body));
+    let prompt = prompt.unwrap_or_else(|_| prompt::Prompt::of_text(""));
+    dispatch::Job {
+        ticket,
+        service: record.service.clone(),
+        organisation: record.organisation.clone(),
+        blocks: prompt.blocks,
+        prompt_tokens: prompt.tokens.saturating_add(record.tokens),
+        dialogue: prompt.dialogue,
+        settled_tokens: prompt.settled_tokens,
+        max_tokens: Some(record.max_tokens.saturating_sub(record.tokens)),
+        deadline: None,
+        may_probe: true,
+    }
+}
--- a/rhubarbrock/src/node_drain.rs
+++ b/rhubarbrock/src/node_drain.rs
@@ -2,33 +2,70 @@
 
 use std::time::Duration;
 
-use crate::action;
 use crate::node::Node;
+use crate::{action, drain};
 
 impl Node {
     pub(crate) fn on_terminate(&mut self) {
-        self.begin_drain("asked to end");
+        let actions = self.drain.on_signal(self.now);
+        self.perform_drain(actions, "asked to end");
     }
 
     /// This node's instance was given notice.
     pub(crate) fn on_reclaim(&mut self, rest: Duration) {
-        self.begin_drain(&format!("reclaimed in {} ms", rest.as_millis()));
+        let actions = self.drain.on_reclaim(self.now, rest);
+        let why = format!("reclaimed in {} ms", rest.as_millis());
+        self.perform_drain(actions, &why);
     }
 
-    fn begin_drain(&mut self, why: &str) {
-        if self.is_draining {
-            return;
+    /// Whether the node takes no new requests because it leaves.
+    pub(crate) fn is_leaving(&self) -> bool {
+        !self.drain.accepts()
+    }
+
+    pub(crate) fn tick_drain(&mut self) {
+        let left = drain::Left {
+            model_requests: self.unfinished_models() + self.unsettled_answers(),
+            calls: self.plains.len(),
+            outcomes: self.claims.pending_outcomes(),
+            responses: 0,
+        };
+        let actions = self.drain.tick(self.now, left);
+        self.perform_drain(actions, "");
+    }
+
+    fn perform_drain(&mut self, actions: Vec<drain::Action>, why: &str) {
+        for action in actions {
+            match action {
+                drain::Action::StopAccepting => self.stop_accepting(why),
+                drain::Action::HandOver => self.hand_over(),
+                drain::Action::ConcludeCalls => {
+                    let actions = self.claims.conclude_all(self.now);
+                    self.perform_claims(actions);
+                }
+                drain::Action::Stop => self.stop(),
+            }
         }
-        self.is_draining = true;
+    }
+
+    fn stop_accepting(&mut self, why: &str) {
         self.report(action::LogLevel::Info, "node.leaving", why.to_owned());
         self.membership.leave(self.now);
         self.settle_readiness();
         self.act(action::Action::CloseIdle);
     }
 
-    pub(crate) fn tick_drain(&mut self) {
-        if self.is_draining && self.unfinished_models() == 0 && self.plains.is_empty() {
-            self.act(action::Action::Stop);
-        }
+    fn hand_over(&mut self) {
+        let count = self.unfinished_models();
+        self.note("node.hand_over", None, format!("{count} requests"));
+        let actions = self.custody.hand_over(self.now);
+        self.perform_custody(actions);
+    }
+
+    fn stop(&mut self) {
+        self.report(action::LogLevel::Info, "node.stopping", "nothing is left".to_owned());
+        let outgoing = self.membership.stop(self.now);
+        self.send_datagrams(outgoing);
+        self.act(action::Action::Stop);
     }
 }
--- a/rhubarbrock/src/node_model.rs
+++ b/rhubarbrock/src/node_model.rs
@@ -5,7 +5,7 @@
 use rhubarbrock_schema::{peer, release as schema};
 
 use crate::node::{Node, Work};
-use crate::{action, admission, dispatch, event, fairness, id, routing};
+use crate::{action, admission, dispatch, event, fairness, id, node_custody, retry, routing};
 
 /// Time in which an engine must take a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -13,14 +13,8 @@
 /// Longest time without any token before an engine counts as broken.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(10_000);
 
-/// Longest life of an answer where no release says otherwise.
-const DEFAULT_ANSWER_LIFE: Duration = Duration::from_secs(120);
-
-/// Back-off after the first failure of a request; doubles up to the limit.
-const FIRST_BACKOFF: Duration = Duration::from_millis(20);
-
-/// Longest back-off.
-const MAX_BACKOFF: Duration = Duration::from_millis(2_000);
+/// Endpoints that one request avoids at most.
+const MAX_EXCLUDED: usize = 2;
 
 /// How long a busy engine that names no time is left alone.
 const BUSY_PAUSE: Duration = Duration::from_millis(500);
@@ -34,7 +28,7 @@
 /// A model request held here.
 #[derive(Debug, Clone)]
 pub(crate) struct ModelRequest {
-    /// Record as other nodes keep it, with the text up to the last mark.
+    /// Record as other nodes keep it, without text.
     pub(crate) record: peer::RequestRecord,
     /// Call that waits for acceptance.
     pub(crate) waiting_call: Option<event::CallId>,
@@ -46,7 +40,8 @@
     pub(crate) attempt: Option<id::AttemptId>,
     /// Endpoints that failed it, oldest first.
     pub(crate) failed_at: Vec<id::EndpointId>,
-    pub(crate) failures: u32,
+    /// Tokens of the answer up to the last mark.
+    pub(crate) tokens: u32,
     pub(crate) arrived_at: Duration,
     pub(crate) first_token_at: Option<Duration>,
     pub(crate) ends_by: Duration,
@@ -54,9 +49,10 @@
 }
 
 impl ModelRequest {
-    /// Endpoints that the next attempt avoids.
+    /// Endpoints that the next attempt avoids: the last that failed it.
     pub(crate) fn excluded(&self) -> Vec<id::EndpointId> {
-        self.failed_at.clone()
+        let skipped = self.failed_at.len().saturating_sub(MAX_EXCLUDED);
+        self.failed_at[skipped..].to_vec()
     }
 }
 
@@ -80,6 +76,9 @@
         }
         let max_tokens = call.max_tokens.unwrap_or(service.max_tokens).min(service.max_tokens);
         let timeout = Duration::from_millis(u64::from(service.timeout_ms));
+        if self.refuse_quarantined(call.call, call.fingerprint) {
+            return;
+        }
         let request = id::RequestId { holder: self.config.node, secret: call.secret };
         let ticket = self.new_ticket(Work::Model(request));
         let job = model_job(ticket, &organisation, &call);
@@ -88,6 +87,8 @@
             self.refuse_admission(call.call, &refusal);
             return;
         }
+        let closed = self.closed_to(call.fingerprint);
+        self.dispatcher.exclude(ticket, &closed);
         let record = peer::RequestRecord {
             request: request.to_string(),
             organisation,
@@ -124,15 +125,22 @@
             ticket,
             attempt: None,
             failed_at: Vec::new(),
-            failures: 0,
+            tokens: record.tokens,
             arrived_at: self.now,
             first_token_at: None,
             ends_by: self.now + timeout,
             ended_at: None,
-            record,
+            record: peer::RequestRecord {
+                text: String::new(),
+                chunk_bytes: Vec::new(),
+                ..record.clone()
+            },
         };
+        let is_new = held.waiting_call.is_some();
         self.models.insert(request, held);
-        self.keep_copy(request);
+        if is_new {
+            self.keep_copy(record);
+        }
     }
 
     fn refuse_admission(&mut self, call: event::CallId, refusal: &admission::Refusal) {
@@ -168,7 +176,9 @@
         held.attempt = Some(attempt);
         held.record.endpoint = endpoint;
         held.record.attempts += 1;
-        let is_resumed = held.record.tokens > 0;
+        let is_resumed = held.tokens > 0;
+        let is_first = held.record.attempts == 1;
+        let service = held.record.service.clone();
         let model = self.services.get(&held.record.service).map(|s| s.model.clone());
         let start = action::ModelAttempt {
             attempt,
@@ -185,6 +195,9 @@
             kv_source: None,
         };
         let number = held.record.attempts;
+        if is_first {
+            self.retries.on_first_attempt(&service);
+        }
         self.counters.model_attempts += 1;
         self.counters.model_resumed += u64::from(is_resumed);
         self.act(action::Action::StartModel(Box::new(start)));
@@ -216,7 +229,7 @@
         match event {
             event::EndpointEvent::FirstToken { attempt } => self.on_first_token(attempt),
             event::EndpointEvent::Progress { attempt, offset, text, chunk_bytes, tokens } => {
-                let mark = Mark { offset, text, chunk_bytes, tokens };
+                let mark = node_custody::Mark { offset, text, chunk_bytes, tokens };
                 self.on_model_progress(attempt, mark);
             }
             event::EndpointEvent::ModelEnded { attempt, end } => {
@@ -249,16 +262,14 @@
         }
     }
 
-    fn on_model_progress(&mut self, attempt: id::AttemptId, mark: Mark) {
+    fn on_model_progress(&mut self, attempt: id::AttemptId, mark: node_custody::Mark) {
         self.dispatcher.on_progress(self.now, attempt, mark.tokens);
         let Some(request) = self.model_of(attempt) else { return };
         let held = self.models.get_mut(&request).expect("work names a request that is held");
-        let record = &mut held.record;
-        assert_eq!(mark.offset, record.text.len() as u64, "marks follow each other");
-        record.text.push_str(&mark.text);
-        record.chunk_bytes.extend(&mark.chunk_bytes);
-        record.tokens = mark.tokens;
-        self.keep_progress(request, &mark);
+        held.tokens = mark.tokens;
+        if !self.keep_progress(request, mark) {
+            self.act(action::Action::Cancel { attempt });
+        }
     }
 
     fn on_model_ended(&mut self, attempt: id::AttemptId, end: event::ModelEnd) {
@@ -270,6 +281,7 @@
         };
         let held = self.models.get_mut(&request).expect("work names a request that is held");
         held.attempt = None;
+        let (held_at, print) = (held.record.endpoint, held.record.fingerprint);
         match end {
             event::ModelEnd::Finished(finish) => self.finish_model(request, attempt, finish),
             event::ModelEnd::Rejected { status, message } => {
@@ -291,7 +303,12 @@
             }
             event::ModelEnd::Broken { message } => {
                 self.note("attempt.broken", Some(request), message);
+                let (endpoint, fingerprint) = (held_at, print);
                 self.retry_model(request, attempt, routing::Failure::Cut);
+                self.on_broken(endpoint, fingerprint);
+            }
+            event::ModelEnd::TimedOut => {
+                self.retry_model(request, attempt, routing::Failure::Timeout);
             }
             event::ModelEnd::Cancelled => {
                 self.retry_model(request, attempt, routing::Failure::Cut);
@@ -306,10 +323,12 @@
         finish: peer::Finish,
     ) {
         let held = &self.models[&request];
+        let fingerprint = held.record.fingerprint;
         let answered = routing::Answered { answer_tokens: finish.completion_tokens };
         let took = self.now.saturating_sub(held.arrived_at);
         let change = self.dispatcher.on_done(self.now, attempt, &answered);
         self.note_change(change);
+        self.quarantine.on_finished(self.now, fingerprint);
         self.counters.model_answered += 1;
         self.counters.cached_tokens += u64::from(finish.cached_tokens);
         self.counters.computed_tokens +=
@@ -337,12 +356,27 @@
         if !held.failed_at.contains(&endpoint) {
             held.failed_at.push(endpoint);
         }
-        held.failures += 1;
-        let due = self.now + backoff(held.failures);
         let ticket = held.ticket;
-        let detail = format!("endpoint {endpoint}: {failure}");
-        self.delayed.insert((due, ticket));
-        self.note("request.retry", Some(request), detail);
+        let retry_after = match failure {
+            routing::Failure::Busy { retry_after } => Some(retry_after),
+            _ => None,
+        };
+        let failed = retry::Failure {
+            service: &held.record.service,
+            attempts: held.record.attempts,
+            repeat: retry::Repeat::Required,
+            retry_after,
+            deadline: Some(held.ends_by),
+        };
+        match self.retries.decide(self.now, &failed) {
+            retry::Verdict::RetryAt(due) => {
+                let wait_ms = due.saturating_sub(self.now).as_millis();
+                let detail = format!("endpoint {endpoint}: {failure}; again in {wait_ms} ms");
+                self.delayed.insert((due, ticket));
+                self.note("request.retry", Some(request), detail);
+            }
+            retry::Verdict::GiveUp { reason, .. } => self.fail_model(request, reason.to_string()),
+        }
     }
 
     /// Ends a request that can't be answered.
@@ -357,11 +391,7 @@
         held.ended_at = Some(self.now);
         held.attempt = None;
         let ticket = held.ticket;
-        self.work.remove(&ticket);
-        self.delayed.retain(|(_, delayed)| *delayed != ticket);
-        if let Some(attempt) = self.dispatcher.give_up(self.now, ticket) {
-            self.act(action::Action::Cancel { attempt });
-        }
+        self.end_work(ticket);
         let waiting_call = self.models.get_mut(&request).and_then(|held| held.waiting_call.take());
         self.act(action::Action::FinishAnswer { request, finish: finish.clone() });
         if let Some(call) = waiting_call {
@@ -370,16 +400,23 @@
         self.keep_finish(request, finish);
     }
 
+    /// Ends the work that a ticket stands for, and cancels its attempt.
+    pub(crate) fn end_work(&mut self, ticket: fairness::Ticket) {
+        self.work.remove(&ticket);
+        self.delayed.retain(|(_, delayed)| *delayed != ticket);
+        if let Some(attempt) = self.dispatcher.give_up(self.now, ticket) {
+            self.attempts.remove(&attempt);
+            self.act(action::Action::Cancel { attempt });
+        }
+    }
+
     /// Forgets a request that was not accepted.
     pub(crate) fn drop_model(&mut self, request: id::RequestId) {
         let Some(held) = self.models.remove(&request) else { return };
-        self.work.remove(&held.ticket);
-        self.delayed.retain(|(_, delayed)| *delayed != held.ticket);
-        if let Some(attempt) = self.dispatcher.give_up(self.now, held.ticket) {
-            self.act(action::Action::Cancel { attempt });
-        }
+        self.end_work(held.ticket);
         self.act(action::Action::DropAnswer { request });
-        self.forget_copy(request);
+        self.keep_finish(request, failed("the request was not accepted".to_owned()));
+        self.custody.taken(request);
     }
 
     /// A caller left before it was told the request's id, so nobody can ask for the answer.
@@ -393,10 +430,6 @@
     }
 
     pub(crate) fn tick_models(&mut self) {
-        let answer_life = match self.policy.answer_life_s {
-            0 => DEFAULT_ANSWER_LIFE,
-            life_s => Duration::from_secs(u64::from(life_s)),
-        };
         let now = self.now;
         let late: Vec<id::RequestId> = self
             .models
@@ -407,17 +440,6 @@
         for request in late {
             self.fail_model(request, "the answer was not complete in time".to_owned());
         }
-        let over: Vec<id::RequestId> = self
-            .models
-            .iter()
-            .filter(|(_, held)| held.ended_at.is_some_and(|ended| now > ended + answer_life))
-            .map(|(request, _)| *request)
-            .collect();
-        for request in over {
-            self.models.remove(&request);
-            self.act(action::Action::DropAnswer { request });
-            self.forget_copy(request);
-        }
     }
 
     pub(crate) fn note_change(&mut self, change: Option<routing::Change>) {
@@ -429,15 +451,6 @@
     }
 }
 
-/// Text since the last mark.
-#[derive(Debug, Clone)]
-pub(crate) struct Mark {
-    pub(crate) offset: u64,
-    pub(crate) text: String,
-    pub(crate) chunk_bytes: Vec<u32>,
-    pub(crate) tokens: u32,
-}
-
 fn model_job(
     ticket: fairness::Ticket,
     organisation: &str,
@@ -460,8 +473,3 @@
 fn failed(error: String) -> peer::Finish {
     peer::Finish { error, ..Default::default() }
 }
-
-fn backoff(failures: u32) -> Duration {
-    let doubled = FIRST_BACKOFF * 2_u32.saturating_pow(failures.saturating_sub(1).min(10));
-    doubled.min(MAX_BACKOFF)
-}
--- a/rhubarbrock/src/node_peer.rs
+++ b/rhubarbrock/src/node_peer.rs
@@ -6,11 +6,14 @@
 use rhubarbrock_schema::peer;
 
 use crate::node::Node;
-use crate::{action, event, id, membership, node_model};
+use crate::{action, digest, endpoint, event, fairness, id, membership, placement};
 
 /// Shortest time between fetches of a release from other nodes.
 const FETCH_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Suspects put into the news at once.
+const MAX_SUSPECTS_TOLD: usize = 8;
+
 /// Nodes asked for a request that this one does not know.
 const MAX_ASKED: usize = 16;
 
@@ -30,11 +33,13 @@
                 let reply = event::Reply::Timeline(self.timeline.page(after, limit));
                 self.act(action::Action::Reply { rpc, reply });
             }
-            event::PeerEvent::StoreReplied { to, requests, reply } => {
-                self.on_store_replied(to, &requests, reply);
+            event::PeerEvent::StoreReplied { number, reply } => {
+                let actions = self.custody.stored(self.now, number, reply.as_ref());
+                self.perform_custody(actions);
             }
-            event::PeerEvent::ProgressReplied { to, reply } => {
-                self.on_progress_replied(to, reply);
+            event::PeerEvent::ProgressReplied { to, number, reply } => {
+                let actions = self.custody.progressed(self.now, to, number, reply.as_ref());
+                self.perform_custody(actions);
             }
             event::PeerEvent::ReleaseFetched { reply } => self.on_release_fetched(reply),
         }
@@ -47,7 +52,7 @@
         self.send_datagrams(outgoing);
     }
 
-    fn send_datagrams(&mut self, outgoing: Vec<membership::Outgoing>) {
+    pub(crate) fn send_datagrams(&mut self, outgoing: Vec<membership::Outgoing>) {
         let sent_at_ms = self.wall.as_millis() as u64;
         for membership::Outgoing { to, mut datagram } in outgoing {
             datagram.sent_at_ms = sent_at_ms;
@@ -80,23 +85,85 @@
     pub(crate) fn tick_peers(&mut self) {
         let outgoing = self.membership.tick(self.now);
         self.send_datagrams(outgoing);
-        for change in self.membership.changes() {
+        self.follow_members();
+        self.follow_news();
+        self.follow_release();
+    }
+
+    fn follow_members(&mut self) {
+        let changes = self.membership.changes();
+        if changes.is_empty() {
+            return;
+        }
+        for change in changes {
+            if change.kind == membership::ChangeKind::Dead {
+                self.dispatcher.fairness.on_node_gone(change.node);
+            }
             let message = format!(
                 "{} in {} is {:?}: {}",
                 change.name, change.data_centre, change.kind, change.why
             );
             self.report(action::LogLevel::Info, "peer.changed", message);
         }
-        self.membership.fresh();
-        self.follow_release();
+        let places = placement::places(&self.membership);
+        let actions = self.custody.set_places(self.now, places);
+        self.perform_custody(actions);
+        self.watch_endpoints();
+    }
+
+    /// Takes in what other nodes observed.
+    fn follow_news(&mut self) {
+        for item in self.membership.fresh() {
+            match item {
+                digest::Item::Load(load) => self.on_peer_load(&load),
+                digest::Item::Usage(usage) => self.on_peer_usage(&usage),
+                digest::Item::Suspect(suspect) => self.on_peer_suspect(suspect),
+            }
+        }
     }
 
-    pub(crate) fn peers_alive(&self) -> usize {
-        self.membership.running().count()
+    fn on_peer_load(&mut self, load: &peer::EndpointLoad) {
+        let report = endpoint::LoadReport {
+            sequence: load.sequence,
+            running: load.running,
+            waiting: load.waiting,
+            kv_used_percent: load.kv_used_percent,
+            queued_tokens: load.queued_tokens,
+            leaving: load.leaving,
+            age: Duration::from_millis(u64::from(load.age_ms)),
+        };
+        let router = &mut self.dispatcher.router;
+        router.on_peer_load(self.now, load.endpoint, &report, load.unreachable);
+    }
+
+    fn on_peer_usage(&mut self, usage: &peer::OrganisationUsage) {
+        let usages = [fairness::Usage {
+            service: usage.service.clone(),
+            organisation: usage.organisation.clone(),
+            served_tokens: usage.served_tokens,
+        }];
+        self.dispatcher.fairness.on_remote_usage(usage.node, &usages);
+    }
+
+    /// Tells the others what this node served, and which requests are suspects.
+    pub(crate) fn tell_news(&mut self) {
+        for usage in self.dispatcher.fairness.usages() {
+            let item = peer::OrganisationUsage {
+                node: self.config.node,
+                service: usage.service,
+                organisation: usage.organisation,
+                served_tokens: usage.served_tokens,
+                age_ms: 0,
+            };
+            self.membership.news().put(self.now, digest::Item::Usage(item));
+        }
+        for suspect in self.quarantine.digest(self.now, MAX_SUSPECTS_TOLD) {
+            self.membership.news().put(self.now, digest::Item::Suspect(suspect));
+        }
     }
 
-    pub(crate) fn kept_copies(&self) -> usize {
-        0
+    pub(crate) fn peers_alive(&self) -> usize {
+        self.membership.running().count()
     }
 
     fn on_release_fetch(&mut self, rpc: event::RpcId) {
@@ -151,49 +218,16 @@
         addresses.collect()
     }
 
-    fn on_store(&mut self, _rpc: event::RpcId, _call: peer::StoreCall) {}
-
-    fn on_progress_call(&mut self, _rpc: event::RpcId, _call: peer::ProgressCall) {}
-
-    fn on_find(&mut self, rpc: event::RpcId, call: &peer::FindCall) {
-        let mut reply = peer::FindReply::default();
-        let held =
-            call.request.parse().ok().and_then(|request: id::RequestId| self.models.get(&request));
-        if let Some(held) = held {
-            reply.set_state(peer::FindState::Held);
-            reply.record = Some(held.record.clone());
-        }
-        let reply = event::Reply::Find(Box::new(reply));
-        self.act(action::Action::Reply { rpc, reply });
-    }
-
-    fn on_store_replied(
-        &mut self,
-        _to: id::NodeId,
-        _requests: &[id::RequestId],
-        _reply: Option<peer::StoreReply>,
-    ) {
+    /// Where to ask for a request that is not known here.
+    pub(crate) fn nodes_to_ask(&self, request: id::RequestId) -> Vec<action::PeerAddress> {
+        let nodes = self.custody.locate(request).into_iter().take(MAX_ASKED);
+        nodes.filter_map(|node| self.peer_address(node)).collect()
     }
 
-    fn on_progress_replied(&mut self, _to: id::NodeId, _reply: Option<peer::ProgressReply>) {}
-
-    /// Gives a request's record to another node.
-    pub(crate) fn keep_copy(&mut self, request: id::RequestId) {
-        if let Some(held) = self.models.get_mut(&request) {
-            held.is_kept = true;
-            self.counters.single_copy += 1;
-        }
-    }
-
-    pub(crate) fn keep_progress(&mut self, _request: id::RequestId, _mark: &node_model::Mark) {}
-
-    pub(crate) fn keep_finish(&mut self, _request: id::RequestId, _finish: peer::Finish) {}
-
-    pub(crate) fn forget_copy(&mut self, _request: id::RequestId) {}
-
-    pub(crate) fn on_taken(&mut self, _request: id::RequestId) {}
-
-    pub(crate) fn nodes_to_ask(&self, _request: id::RequestId) -> Vec<action::PeerAddress> {
-        self.running_nodes().into_iter().take(MAX_ASKED).collect()
+    /// Where a node takes calls.
+    pub(crate) fn peer_address(&self, node: id::NodeId) -> Option<action::PeerAddress> {
+        let known = self.membership.member(node)?;
+        let address = known.record.peer_address.parse().ok()?;
+        Some(action::PeerAddress { node, address })
     }
 }
--- a/rhubarbrock/src/node_platform.rs
+++ b/rhubarbrock/src/node_platform.rs
@@ -4,10 +4,10 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
-use rhubarbrock_schema::release as schema;
+use rhubarbrock_schema::{peer, release as schema};
 
 use crate::node::{MAX_BEHIND, Node};
-use crate::{action, claim, defaults, endpoint, event, id, release, snapshot};
+use crate::{action, claim, defaults, digest, endpoint, event, id, release, snapshot, watch};
 
 /// What an append was for.
 #[derive(Debug, Clone, Copy)]
@@ -149,6 +149,13 @@
         self.organisations = organisations(&release);
         self.services = release.services.iter().map(|s| (s.name.clone(), s.clone())).collect();
         self.dispatcher.on_release(&release);
+        self.retries.set_percent(self.policy.retry_percent);
+        self.quarantine.set_policy(
+            self.policy.quarantine_after_crashes as usize,
+            Duration::from_secs(u64::from(self.policy.quarantine_s)),
+        );
+        let answer_life = Duration::from_secs(u64::from(self.policy.answer_life_s));
+        self.custody.set_answer_life(answer_life);
         self.tell_release_version(release.version);
         self.settle_readiness();
     }
@@ -160,7 +167,7 @@
     }
 
     pub(crate) fn settle_readiness(&mut self) {
-        let is_ready = self.log.release().is_some() && !self.is_behind() && !self.is_draining;
+        let is_ready = self.log.release().is_some() && !self.is_behind() && !self.is_leaving();
         if is_ready != self.is_ready {
             self.is_ready = is_ready;
             self.act(action::Action::SetReady(is_ready));
@@ -241,24 +248,29 @@
         self.platform.addresses.get(&endpoint).copied().unwrap_or(unknown)
     }
 
-    /// Follows the load of the endpoints that the router wants followed.
-    fn watch_endpoints(&mut self) {
+    /// Follows the load of the endpoints that this node watches for all.
+    pub(crate) fn watch_endpoints(&mut self) {
         let router = &self.dispatcher.router;
+        let me = self.config.node;
         let is_model = |name: &&str| {
             self.services
                 .get(*name)
                 .is_some_and(|service| service.kind() == schema::ServiceKind::Model)
         };
-        let followed: Vec<id::EndpointId> = router
-            .services()
-            .filter(is_model)
-            .flat_map(|service| router.followed(service).iter().copied())
-            .collect();
-        let watched: Vec<action::WatchedEndpoint> = followed
-            .into_iter()
-            .map(|endpoint| action::WatchedEndpoint {
-                endpoint,
-                address: self.endpoint_address(endpoint),
+        let is_mine = |known: &&endpoint::Endpoint| {
+            let listing = &known.listing;
+            let state = known.state(self.now);
+            is_model(&listing.service.as_str())
+                && state != endpoint::State::Gone
+                && watch::watchers(&self.membership, listing.endpoint, &listing.data_centre)
+                    .contains(&me)
+        };
+        let watched: Vec<action::WatchedEndpoint> = router
+            .endpoints()
+            .filter(is_mine)
+            .map(|known| action::WatchedEndpoint {
+                endpoint: known.listing.endpoint,
+                address: self.endpoint_address(known.listing.endpoint),
             })
             .collect();
         if watched != self.platform.watched {
@@ -278,9 +290,37 @@
             age: Duration::ZERO,
         };
         self.dispatcher.router.on_load(self.now, report.endpoint, &taken);
+        let told = peer::EndpointLoad {
+            endpoint: report.endpoint,
+            sequence: report.sequence,
+            running: report.running,
+            waiting: report.waiting,
+            kv_used_percent: report.kv_used_percent,
+            queued_tokens: report.queued_tokens,
+            leaving: report.leaving,
+            ..Default::default()
+        };
+        self.membership.news().put(self.now, digest::Item::Load(told));
     }
 
-    pub(crate) fn on_load_failed(&mut self, _endpoint: id::EndpointId) {}
+    /// A watched endpoint did not answer.
+    pub(crate) fn on_load_failed(&mut self, endpoint: id::EndpointId) {
+        let Some(mut last) = self.membership.news().load(self.now, endpoint) else { return };
+        last.sequence += 1;
+        last.unreachable = true;
+        last.age_ms = 0;
+        let report = endpoint::LoadReport {
+            sequence: last.sequence,
+            running: last.running,
+            waiting: last.waiting,
+            kv_used_percent: last.kv_used_percent,
+            queued_tokens: last.queued_tokens,
+            leaving: last.leaving,
+            age: Duration::ZERO,
+        };
+        self.dispatcher.router.on_peer_load(self.now, endpoint, &report, true);
+        self.membership.news().put(self.now, digest::Item::Load(last));
+    }
 
     pub(crate) fn tick_platform(&mut self) {
         self.settle_readiness();
--- /dev/null
+++ b/rhubarbrock/src/node_poison.rs
@@ -0,0 +1,103 @@
+//! Requests that crash endpoints.
+
+use std::time::Duration;
+
+use rhubarbrock_schema::peer;
+
+use crate::node::Node;
+use crate::{action, endpoint, event, id, quarantine};
+
+/// Broken connections to one endpoint within this time are one crash.
+const CRASH_WINDOW: Duration = Duration::from_millis(1_000);
+
+impl Node {
+    /// Refuses a request that crashed endpoints before; true where it did.
+    pub(crate) fn refuse_quarantined(
+        &mut self,
+        call: event::CallId,
+        fingerprint: id::Fingerprint,
+    ) -> bool {
+        let standing = self.quarantine.standing(self.now, fingerprint);
+        let quarantine::Standing::Quarantined { until } = standing else { return false };
+        let detail = "the request crashed the endpoints that ran it before";
+        let rest = until.saturating_sub(self.now);
+        self.refuse(call, action::RefusalKind::Quarantined, detail, Some(rest));
+        true
+    }
+
+    /// An attempt broke off; where its endpoint was not leaving, it may have crashed.
+    pub(crate) fn on_broken(&mut self, endpoint: id::EndpointId, fingerprint: id::Fingerprint) {
+        let known = self.dispatcher.router.endpoint(endpoint);
+        let is_announced = known.is_none_or(|known| {
+            matches!(known.state(self.now), endpoint::State::Leaving | endpoint::State::Gone)
+        });
+        if is_announced {
+            return;
+        }
+        let last = self.crashes.get(&endpoint);
+        if last.is_some_and(|last| self.now < *last + CRASH_WINDOW) {
+            return;
+        }
+        self.crashes.insert(endpoint, self.now);
+        let mut running = self.running_at(endpoint);
+        running.push(fingerprint);
+        running.sort_unstable();
+        running.dedup();
+        let message = format!("endpoint {endpoint} broke off {} requests", running.len());
+        self.report(action::LogLevel::Warning, "endpoint.crashed", message);
+        let found = self.quarantine.on_crash(self.now, endpoint, &running);
+        self.quarantine_all(&found);
+    }
+
+    pub(crate) fn on_peer_suspect(&mut self, suspect: peer::Suspect) {
+        let found = self.quarantine.on_peer_suspects(self.now, &[suspect]);
+        self.quarantine_all(&found);
+    }
+
+    fn quarantine_all(&mut self, fingerprints: &[id::Fingerprint]) {
+        for fingerprint in fingerprints {
+            self.counters.quarantined += 1;
+            let message = format!("fingerprint {fingerprint:016x}");
+            self.report(action::LogLevel::Warning, "request.quarantined", message);
+            let waiting: Vec<id::RequestId> = self
+                .models
+                .iter()
+                .filter(|(_, held)| held.ended_at.is_none() && held.attempt.is_none())
+                .filter(|(_, held)| held.record.fingerprint == *fingerprint)
+                .map(|(request, _)| *request)
+                .collect();
+            for request in waiting {
+                let why = "the request crashed the endpoints that ran it".to_owned();
+                self.fail_model(request, why);
+            }
+        }
+    }
+
+    /// Fingerprints of this node's requests that run at an endpoint.
+    fn running_at(&self, endpoint: id::EndpointId) -> Vec<id::Fingerprint> {
+        let running = self.models.values().filter(|held| {
+            held.attempt.is_some() && held.ended_at.is_none() && held.record.endpoint == endpoint
+        });
+        running.map(|held| held.record.fingerprint).collect()
+    }
+
+    /// Endpoints where a suspect must not run, because another suspect does.
+    pub(crate) fn closed_to(&self, fingerprint: id::Fingerprint) -> Vec<id::EndpointId> {
+        let standing = self.quarantine.standing(self.now, fingerprint);
+        if standing == quarantine::Standing::Free {
+            return Vec::new();
+        }
+        let mut closed: Vec<id::EndpointId> = self
+            .models
+            .values()
+            .filter(|held| held.attempt.is_some() && held.ended_at.is_none())
+            .map(|held| held.record.endpoint)
+            .collect();
+        closed.sort_unstable();
+        closed.dedup();
+        closed.retain(|endpoint| {
+            !self.quarantine.may_place(self.now, fingerprint, &self.running_at(*endpoint))
+        });
+        closed
+    }
+}
--- a/rhubarbrock/src/node_status.rs
+++ b/rhubarbrock/src/node_status.rs
@@ -6,7 +6,7 @@
 use rhubarbrock_schema::observe;
 
 use crate::node::Node;
-use crate::{endpoint, event};
+use crate::{endpoint, event, id};
 
 impl Node {
     /// The node's status.
@@ -21,13 +21,18 @@
             held: self.unfinished_models() as u32,
             kept: self.kept_copies() as u32,
             waiting: self.waiting_requests() as u32,
-            leaving: self.is_draining,
+            leaving: self.is_leaving(),
             peers_alive: self.peers_alive() as u32,
             endpoints: self.endpoint_statuses(),
             troubles: self.troubles(),
         }
     }
 
+    /// Version of the release in force here.
+    pub fn release_version(&self) -> id::Version {
+        self.log.version()
+    }
+
     /// Calls `tell` with each gauge's metric name and value.
     pub fn gauges(&self, mut tell: impl FnMut(&'static str, f64)) {
         tell("rhubarbrock_release_version", self.log.version() as f64);
--- a/rhubarbrockd/src/answer.rs
+++ b/rhubarbrockd/src/answer.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use rhubarbrock::id;
+use rhubarbrock::{action, id};
 use rhubarbrock_schema::peer;
 use tokio::sync::Notify;
 
@@ -41,6 +41,8 @@
     pub finish: Option<peer::Finish>,
     /// Byte offset after the last chunk.
     pub next_offset: u64,
+    /// Nodes that go on with the answer after `chunks`; empty while it is written here.
+    pub moved_to: Vec<action::PeerAddress>,
 }
 
 impl Part {
@@ -73,6 +75,7 @@
     /// Attempt that may append.
     writer: id::AttemptId,
     finish: Option<peer::Finish>,
+    moved_to: Vec<action::PeerAddress>,
 }
 
 /// One answer.
@@ -103,7 +106,7 @@
     /// Appends one chunk of `attempt`; false where another attempt took over or the answer ended.
     pub fn append(&self, attempt: id::AttemptId, chunk: &str, tokens: u32) -> bool {
         let mut state = self.lock();
-        if state.writer != attempt || state.finish.is_some() {
+        if state.writer != attempt || state.finish.is_some() || !state.moved_to.is_empty() {
             return false;
         }
         if !chunk.is_empty() {
@@ -141,7 +144,13 @@
         self.changed.notify_waiters();
     }
 
-    /// Waits until there is text past `offset` or the answer has ended.
+    /// Says that other nodes go on with the answer.
+    pub fn move_to(&self, nodes: Vec<action::PeerAddress>) {
+        self.lock().moved_to = nodes;
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until there is text past `offset`, the answer has ended or went to other nodes.
     pub async fn read(&self, offset: u64) -> Part {
         loop {
             let changed = self.changed.notified();
@@ -158,7 +167,8 @@
     pub fn try_read(&self, offset: u64) -> Option<Part> {
         let state = self.lock();
         let offset = floor_boundary(&state.text, offset as usize);
-        if offset == state.text.len() && state.finish.is_none() {
+        let is_open = state.finish.is_none() && state.moved_to.is_empty();
+        if offset == state.text.len() && is_open {
             return None;
         }
         let mut chunks = Vec::new();
@@ -168,26 +178,12 @@
             chunks.push(state.text[start..*end as usize].to_owned());
             start = *end as usize;
         }
-        Some(Part { chunks, finish: state.finish.clone(), next_offset: start as u64 })
-    }
-
-    /// The whole text and its end, once it has ended.
-    pub async fn whole(&self) -> (String, peer::Finish) {
-        loop {
-            let changed = self.changed.notified();
-            tokio::pin!(changed);
-            changed.as_mut().enable();
-            if let Some(ended) = self.ended() {
-                return ended;
-            }
-            changed.await;
-        }
-    }
-
-    fn ended(&self) -> Option<(String, peer::Finish)> {
-        let state = self.lock();
-        let finish = state.finish.clone()?;
-        Some((state.text.clone(), finish))
+        Some(Part {
+            chunks,
+            finish: state.finish.clone(),
+            next_offset: start as u64,
+            moved_to: state.moved_to.clone(),
+        })
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/rhubarbrockd/src/callers.rs
+++ b/rhubarbrockd/src/callers.rs
@@ -22,6 +22,9 @@
 /// Pause after a failed accept, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time for the first request on a connection that comes while the node leaves.
+const LATE_CONNECTION_GRACE: Duration = Duration::from_millis(500);
+
 /// Time in which a caller must finish the TLS handshake.
 const TLS_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -98,11 +101,18 @@
             hyper::service::service_fn(move |request| Arc::clone(&self).request(request, caller));
         let connection = builder.serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
+        // One that comes while the node leaves still gets an answer to its first request.
+        let grace = if *closing.borrow() { LATE_CONNECTION_GRACE } else { Duration::ZERO };
+        let closed = async move {
+            let _ = closing.wait_for(|closing| *closing).await;
+            tokio::time::sleep(grace).await;
+        };
+        tokio::pin!(closed);
         let mut is_told = false;
         loop {
             tokio::select! {
                 _ = connection.as_mut() => return,
-                _ = closing.wait_for(|closing| *closing), if !is_told => {
+                () = closed.as_mut(), if !is_told => {
                     connection.as_mut().graceful_shutdown();
                     is_told = true;
                 }
--- a/rhubarbrockd/src/daemon.rs
+++ b/rhubarbrockd/src/daemon.rs
@@ -104,14 +104,19 @@
         stopped,
         logger: logger.clone(),
     };
-    let node = node::Node::new(node_config(&settings, node_id));
-    decisions::run(node, &clock::SystemClock::new(), inputs, &outputs);
+    let clock = clock::SystemClock::new();
+    let node = node::Node::new(node_config(&settings, node_id, &clock));
+    decisions::run(node, &clock, inputs, &outputs);
     wait_for_connections(&open_connections);
     info!(logger, "stopped"; "open_connections" => open_connections.load(Ordering::Acquire));
     Ok(())
 }
 
-fn node_config(settings: &settings::Settings, node_id: id::NodeId) -> node::Config {
+fn node_config(
+    settings: &settings::Settings,
+    node_id: id::NodeId,
+    clock: &dyn clock::Clock,
+) -> node::Config {
     node::Config {
         node: node_id,
         name: settings.name.clone(),
@@ -123,6 +128,7 @@
         seeds: settings.seeds.clone(),
         probe_interval: settings.probe_interval,
         drain_limit: settings.drain_limit,
+        started_at: clock.wall(),
         random_seed: rand::random(),
     }
 }
--- a/rhubarbrockd/src/decisions.rs
+++ b/rhubarbrockd/src/decisions.rs
@@ -79,11 +79,7 @@
 
 fn publish(node: &node::Node) {
     node.counters().each(|name, value| metrics::counter!(name).absolute(value));
-    node.gauges(clock_free_gauge);
-}
-
-fn clock_free_gauge(name: &'static str, value: f64) {
-    metrics::gauge!(name).set(value);
+    node.gauges(|name, value| metrics::gauge!(name).set(value));
 }
 
 fn perform_all(outputs: &Outputs, actions: Vec<action::Action>) {
@@ -119,6 +115,12 @@
                 answer.finish(finish);
             }
         }
+        action::Action::MoveAnswer { request, nodes } => {
+            if let Some(answer) = outputs.answers.get(request) {
+                answer.move_to(nodes);
+            }
+            outputs.answers.remove(request);
+        }
         action::Action::DropAnswer { request } => outputs.answers.remove(request),
         action::Action::StartModel(attempt) => start_model(outputs, attempt),
         action::Action::StartPlain(attempt) => {
@@ -140,11 +142,11 @@
             // Datagrams may be lost; a full ring loses them too.
             let _ = outputs.peers.push(peers::Order::Datagram { to, datagram });
         }
-        action::Action::SendStore { to, call } => {
-            outputs.peers.send_blocking(peers::Order::Store { to, call });
+        action::Action::SendStore { to, number, call } => {
+            outputs.peers.send_blocking(peers::Order::Store { to, number, call });
         }
-        action::Action::SendProgress { to, call } => {
-            outputs.peers.send_blocking(peers::Order::Progress { to, call });
+        action::Action::SendProgress { to, number, call } => {
+            outputs.peers.send_blocking(peers::Order::Progress { to, number, call });
         }
         action::Action::FetchRelease { to } => {
             outputs.peers.send_blocking(peers::Order::Release { to });
--- a/rhubarbrockd/src/engine.rs
+++ b/rhubarbrockd/src/engine.rs
@@ -86,7 +86,7 @@
         Ok(Err(http_client::CallError::Unknown { message })) => {
             return event::ModelEnd::Broken { message };
         }
-        Err(_) => return event::ModelEnd::Broken { message: "no answer in time".to_owned() },
+        Err(_) => return event::ModelEnd::TimedOut,
     };
     if !response.status().is_success() {
         return refused(response).await;
@@ -173,7 +173,7 @@
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(Some(Err(error))) => return broken(error.to_string()),
                 Ok(None) => return broken("the stream ended early".to_owned()),
-                Err(_) => return broken("the stream stood still".to_owned()),
+                Err(_) => return event::ModelEnd::TimedOut,
             };
             let Ok(messages) = parser.push(&bytes) else {
                 return broken("the stream holds an event that is too large".to_owned());
--- a/rhubarbrockd/src/handlers.rs
+++ b/rhubarbrockd/src/handlers.rs
@@ -13,7 +13,10 @@
 use rhubarbrock::{action, event, id};
 use sha2::{Digest, Sha256};
 
-use crate::{body, gate, observation, openai, peer_client, problem, relay, settings, streaming};
+use crate::{
+    answer, body, gate, observation, openai, peer_client, problem, reader, relay, settings,
+    streaming,
+};
 
 /// Prefix of plain services' paths.
 const SERVICES_PREFIX: &str = "/v1/services/";
@@ -39,6 +42,12 @@
 /// Header with the time a caller allows until its answer starts, in milliseconds.
 const DEADLINE: &str = "x-deadline-ms";
 
+/// Header with the id of the last event that a caller has.
+const LAST_EVENT_ID: &str = "last-event-id";
+
+/// Shown where no request has the id asked for.
+const NO_REQUEST: &str = "there is no request of this id";
+
 /// Most time line events in one page.
 const TIMELINE_PAGE_EVENTS: usize = 1_000;
 
@@ -146,8 +155,7 @@
     let headers = HeaderMap::borrow_from(state);
     let key_sha256 = bearer_sha256(headers)?;
     let text = Uri::borrow_from(state).path().rsplit('/').next().unwrap_or_default();
-    let not_found =
-        |_| problem::not_run(action::RefusalKind::NotFound, "there is no request of this id");
+    let not_found = |_| problem::not_run(action::RefusalKind::NotFound, NO_REQUEST);
     let request: id::RequestId = text.parse().map_err(not_found)?;
     let offset = last_event_offset(headers, request)?;
     let verdict = context.gate.ask(|call| {
@@ -209,20 +217,52 @@
     match verdict {
         gate::Verdict::Refuse(refusal) => Err(refusal),
         gate::Verdict::Attach(answer, offset) => {
-            if answer.head.streamed || reading == Reading::Events {
-                Ok(streaming::events(Arc::clone(&context.gate), answer, offset))
-            } else {
-                streaming::whole(&answer).await
-            }
-        }
-        gate::Verdict::Relay(found) => {
-            relay::answer(&context.peers, &found, reading == Reading::Events).await
+            let head = answer.head.clone();
+            let gate = Arc::clone(&context.gate);
+            let reader = reader::Reader::local(gate, context.peers.clone(), answer, offset);
+            read_answer(head, reader, reading).await
         }
+        gate::Verdict::Relay(wanted) => relayed(context, wanted, reading).await,
         gate::Verdict::Plain(found) => Ok(plain_response(found)),
         gate::Verdict::Services(services) => Ok(json(openai::models(&services))),
     }
 }
 
+async fn read_answer(head: answer::Head, reader: reader::Reader, reading: Reading) -> Answered {
+    if head.streamed || reading == Reading::Events {
+        Ok(streaming::events(head, reader))
+    } else {
+        streaming::whole(&head, reader).await
+    }
+}
+
+/// Reads a request's answer from other nodes.
+async fn relayed(context: &Context, wanted: gate::Relay, reading: Reading) -> Answered {
+    let gate::Relay { request, organisation, offset, nodes } = wanted;
+    let mut remote =
+        relay::Remote::new(context.peers.clone(), request, organisation, nodes, offset);
+    match remote.read().await {
+        Some(relay::Found::Model(Some(head), first)) => {
+            let gate = Arc::clone(&context.gate);
+            let peers = context.peers.clone();
+            let reader = reader::Reader::remote(gate, peers, remote, offset, first);
+            read_answer(head, reader, reading).await
+        }
+        Some(relay::Found::Plain(reply)) => Ok(plain_response(gate::PlainVerdict {
+            request,
+            answer: event::PlainAnswer {
+                status: reply.status as u16,
+                content_type: reply.content_type,
+                body: reply.body,
+            },
+            repeated: false,
+        })),
+        Some(relay::Found::Model(None, _)) | None => {
+            Err(problem::not_run(action::RefusalKind::NotFound, NO_REQUEST))
+        }
+    }
+}
+
 fn plain_response(found: gate::PlainVerdict) -> Response<Body> {
     let mut response = Response::new(body::full(found.answer.body));
     *response.status_mut() =
@@ -356,7 +396,7 @@
 
 /// Byte offset named by `Last-Event-ID`, 0 without one.
 fn last_event_offset(headers: &HeaderMap, request: id::RequestId) -> Result<u64, action::Refusal> {
-    let Some(last) = text_header(headers, "last-event-id") else { return Ok(0) };
+    let Some(last) = text_header(headers, LAST_EVENT_ID) else { return Ok(0) };
     let fault = || bad_header("Last-Event-ID", "the id of an event of this request");
     let (id, offset) = last.split_once(':').ok_or_else(fault)?;
     if id != request.to_string() {
@@ -367,7 +407,12 @@
 
 fn reading(headers: &HeaderMap) -> Reading {
     let accept = text_header(headers, header::ACCEPT.as_str()).unwrap_or_default();
-    if accept.contains(streaming::EVENTS_TYPE) { Reading::Events } else { Reading::Whole }
+    let wants_events = accept.contains(streaming::EVENTS_TYPE);
+    if wants_events || headers.contains_key(LAST_EVENT_ID) {
+        Reading::Events
+    } else {
+        Reading::Whole
+    }
 }
 
 fn request_header(request: id::RequestId) -> HeaderValue {
--- a/rhubarbrockd/src/lib.rs
+++ b/rhubarbrockd/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod pending;
 pub mod platform;
 pub mod problem;
+pub mod reader;
 pub mod relay;
 pub mod ring;
 pub mod settings;
--- a/rhubarbrockd/src/peers.rs
+++ b/rhubarbrockd/src/peers.rs
@@ -10,7 +10,7 @@
 use jsonrpsee::server::{self, HttpBody};
 use jsonrpsee::types::ErrorObjectOwned;
 use prost::Message;
-use rhubarbrock::{action, event};
+use rhubarbrock::{action, custody, event};
 use rhubarbrock_schema::peer;
 use tokio::net::{TcpListener, UdpSocket};
 use tower::Service;
@@ -41,6 +41,8 @@
     Store {
         /// Receiver.
         to: action::PeerAddress,
+        /// Number of the call.
+        number: custody::CallNumber,
         /// Call.
         call: peer::StoreCall,
     },
@@ -48,6 +50,8 @@
     Progress {
         /// Receiver.
         to: action::PeerAddress,
+        /// Number of the call.
+        number: custody::CallNumber,
         /// Call.
         call: peer::ProgressCall,
     },
@@ -163,11 +167,11 @@
                         .increment(sealed.len() as u64);
                     let _ = socket.send_to(&sealed, to).await;
                 }
-                Order::Store { to, call } => {
-                    tokio::spawn(self.clone().store(to, call));
+                Order::Store { to, number, call } => {
+                    tokio::spawn(self.clone().store(to, number, call));
                 }
-                Order::Progress { to, call } => {
-                    tokio::spawn(self.clone().progress(to, call));
+                Order::Progress { to, number, call } => {
+                    tokio::spawn(self.clone().progress(to, number, call));
                 }
                 Order::Release { to } => {
                     tokio::spawn(self.clone().release(to));
@@ -176,15 +180,24 @@
         }
     }
 
-    async fn store(self, to: action::PeerAddress, call: peer::StoreCall) {
-        let requests = call.records.iter().filter_map(|r| r.request.parse().ok()).collect();
+    async fn store(
+        self,
+        to: action::PeerAddress,
+        number: custody::CallNumber,
+        call: peer::StoreCall,
+    ) {
         let reply = self.client.store(to.address, call).await.ok();
-        self.tell(event::PeerEvent::StoreReplied { to: to.node, requests, reply }).await;
+        self.tell(event::PeerEvent::StoreReplied { number, reply }).await;
     }
 
-    async fn progress(self, to: action::PeerAddress, call: peer::ProgressCall) {
+    async fn progress(
+        self,
+        to: action::PeerAddress,
+        number: custody::CallNumber,
+        call: peer::ProgressCall,
+    ) {
         let reply = self.client.progress(to.address, call).await.ok();
-        self.tell(event::PeerEvent::ProgressReplied { to: to.node, reply }).await;
+        self.tell(event::PeerEvent::ProgressReplied { to: to.node, number, reply }).await;
     }
 
     async fn release(self, to: action::PeerAddress) {
--- /dev/null
+++ b/rhubarbrockd/src/reader.rs
@@ -0,0 +1,101 @@
+//! Reads an answer to its end, wherever it is written.
+
+use std::sync::Arc;
+
+use rhubarbrock::id;
+
+use crate::{answer, gate, peer_client, relay};
+
+/// Reads an answer part by part; goes on at another node where the answer moves there.
+pub struct Reader {
+    gate: Arc<gate::Gate>,
+    peers: peer_client::PeerClient,
+    source: Source,
+    /// Byte offset of the next part.
+    offset: u64,
+    /// Part that was read ahead.
+    ready: Option<answer::Part>,
+}
+
+enum Source {
+    Local(Arc<answer::Answer>),
+    Remote(relay::Remote),
+}
+
+/// The nodes that hold a request can't be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("no node that holds the request can be reached")]
+pub struct HolderLost;
+
+impl Reader {
+    /// Reads an answer that is written here.
+    pub fn local(
+        gate: Arc<gate::Gate>,
+        peers: peer_client::PeerClient,
+        answer: Arc<answer::Answer>,
+        offset: u64,
+    ) -> Reader {
+        Reader { gate, peers, source: Source::Local(answer), offset, ready: None }
+    }
+
+    /// Reads an answer that another node writes; `first` was read already.
+    pub fn remote(
+        gate: Arc<gate::Gate>,
+        peers: peer_client::PeerClient,
+        remote: relay::Remote,
+        offset: u64,
+        first: answer::Part,
+    ) -> Reader {
+        Reader { gate, peers, source: Source::Remote(remote), offset, ready: Some(first) }
+    }
+
+    /// Byte offset of the next part.
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// The next part; it holds text, the end or both.
+    pub async fn read(&mut self) -> Result<answer::Part, HolderLost> {
+        loop {
+            let part = match self.ready.take() {
+                Some(part) => part,
+                None => self.read_source().await?,
+            };
+            self.offset = part.next_offset;
+            if part.finish.is_none()
+                && !part.moved_to.is_empty()
+                && let Source::Local(answer) = &self.source
+            {
+                let head = &answer.head;
+                let remote = relay::Remote::new(
+                    self.peers.clone(),
+                    head.request,
+                    head.organisation.clone(),
+                    part.moved_to.clone(),
+                    self.offset,
+                );
+                self.source = Source::Remote(remote.assume_found());
+            }
+            if part.finish.is_some() || !part.chunks.is_empty() {
+                return Ok(part);
+            }
+        }
+    }
+
+    async fn read_source(&mut self) -> Result<answer::Part, HolderLost> {
+        match &mut self.source {
+            Source::Local(answer) => Ok(answer.read(self.offset).await),
+            Source::Remote(remote) => match remote.read().await {
+                Some(relay::Found::Model(_, part)) => Ok(part),
+                Some(relay::Found::Plain(_)) | None => Err(HolderLost),
+            },
+        }
+    }
+
+    /// Tells the decisions that the caller has the whole answer.
+    pub fn taken(&self, request: id::RequestId) {
+        if matches!(self.source, Source::Local(_)) {
+            self.gate.taken(request);
+        }
+    }
+}
--- a/rhubarbrockd/src/relay.rs
+++ b/rhubarbrockd/src/relay.rs
@@ -1,139 +1,91 @@
 //! Answers held by other nodes.
 
-use std::io;
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use futures_util::stream;
-use gotham::helpers::http::Body;
-use http::Response;
-use rhubarbrock::action;
+use rhubarbrock::{action, id};
 use rhubarbrock_schema::peer;
 
-use crate::{answer, body, gate, openai, peer_client, problem, streaming};
+use crate::{answer, openai, peer_client};
 
 /// Longest time one question waits for new text.
 const WAIT: Duration = Duration::from_millis(1_000);
 
-/// Rounds of asking all nodes before the request counts as unknown.
-const ROUNDS: u32 = 8;
+/// Time in which some node must show that it holds a request, once one was known to.
+const HOLDER_LIMIT: Duration = Duration::from_secs(30);
 
-/// Pause between rounds, while an adopter may still be taking over.
-const ROUND_PAUSE: Duration = Duration::from_millis(400);
-
-/// The answer of `wanted`, read from the node that holds it.
-pub async fn answer(
-    peers: &peer_client::PeerClient,
-    wanted: &gate::Relay,
-    as_events: bool,
-) -> Result<Response<Body>, action::Refusal> {
-    let mut reader = Reader {
-        peers: peers.clone(),
-        request: wanted.request.to_string(),
-        organisation: wanted.organisation.clone(),
-        nodes: wanted.nodes.clone(),
-        offset: wanted.offset,
-    };
-    let Some(first) = reader.read().await else { return Err(unknown()) };
-    let Some(head) = first.head else { return Err(unknown()) };
-    if head.streamed || as_events {
-        let start = wanted.offset;
-        return Ok(events(reader, head, first.part, start));
-    }
-    let mut text = first.part.chunks.concat();
-    let mut finish = first.part.finish;
-    while finish.is_none() {
-        let Some(next) = reader.read().await else { return Err(lost(&head)) };
-        text.push_str(&next.part.chunks.concat());
-        finish = next.part.finish;
-    }
-    streaming::whole_response(&head, &text, &finish.unwrap_or_default())
-}
-
-fn unknown() -> action::Refusal {
-    problem::not_run(action::RefusalKind::NotFound, "there is no request of this id")
-}
-
-fn lost(head: &answer::Head) -> action::Refusal {
-    action::Refusal {
-        kind: action::RefusalKind::Unavailable,
-        detail: "the node that holds the request cannot be reached now".to_owned(),
-        outcome: action::Outcome::InDoubt,
-        retry_after: Some(Duration::from_secs(1)),
-        request: Some(head.request),
-    }
-}
-
-struct EventState {
-    reader: Reader,
-    writer: openai::EventWriter,
-    ready: Option<answer::Part>,
-    start: u64,
-    is_ended: bool,
-}
-
-fn events(reader: Reader, head: answer::Head, first: answer::Part, start: u64) -> Response<Body> {
-    let head = Arc::new(head);
-    let mut response = streaming::events_response(&head);
-    let writer = openai::EventWriter::new(head);
-    let state = EventState { reader, writer, ready: Some(first), start, is_ended: false };
-    *response.body_mut() = body::stream(stream::unfold(state, next_piece));
-    response
-}
+/// Rounds of asking all nodes for a request that none was known to hold.
+const FIRST_ROUNDS: u32 = 3;
 
-async fn next_piece(mut state: EventState) -> Option<(io::Result<Bytes>, EventState)> {
-    if state.is_ended {
-        return None;
-    }
-    let part = match state.ready.take() {
-        Some(part) => part,
-        None => match state.reader.read().await {
-            Some(found) => found.part,
-            None => {
-                state.is_ended = true;
-                return Some((Err(io::ErrorKind::ConnectionReset.into()), state));
-            }
-        },
-    };
-    let piece = state.writer.part(state.start, &part);
-    state.start = part.next_offset;
-    state.is_ended = part.finish.is_some();
-    Some((Ok(piece), state))
-}
+/// Pause between rounds, while an adopter may still be taking over.
+const ROUND_PAUSE: Duration = Duration::from_millis(300);
 
-struct Reader {
+/// Reads a request's answer from the nodes that may hold it.
+pub struct Remote {
     peers: peer_client::PeerClient,
-    request: String,
+    request: id::RequestId,
     organisation: String,
     nodes: Vec<action::PeerAddress>,
     offset: u64,
+    is_found: bool,
 }
 
-struct Found {
-    head: Option<answer::Head>,
-    part: answer::Part,
+/// What other nodes know of a request.
+pub enum Found {
+    /// A model's answer.
+    Model(Option<answer::Head>, answer::Part),
+    /// A plain service's answer.
+    Plain(peer::PlainReply),
 }
 
-impl Reader {
+impl Remote {
+    /// Reads for `organisation` from byte `offset` on; `nodes` are asked in order.
+    pub fn new(
+        peers: peer_client::PeerClient,
+        request: id::RequestId,
+        organisation: String,
+        nodes: Vec<action::PeerAddress>,
+        offset: u64,
+    ) -> Remote {
+        Remote { peers, request, organisation, nodes, offset, is_found: false }
+    }
+
+    /// Nodes known to have held the request are waited for longer.
+    pub fn assume_found(mut self) -> Remote {
+        self.is_found = true;
+        self
+    }
+
     /// Text past the offset, or the end; `None` where no node knows the request.
-    async fn read(&mut self) -> Option<Found> {
-        for _ in 0..ROUNDS {
+    pub async fn read(&mut self) -> Option<Found> {
+        let started = tokio::time::Instant::now();
+        let mut rounds = 0;
+        loop {
             for index in 0..self.nodes.len() {
                 let Some(reply) = self.ask(self.nodes[index]).await else { continue };
-                if reply.state() == peer::FindState::Held {
+                // A copy says that the request exists and will be adopted.
+                self.is_found |= reply.state() == peer::FindState::Kept;
+                if let Some(found) = self.take(reply) {
                     self.nodes.swap(0, index);
-                    return Some(self.take(reply));
+                    self.is_found = true;
+                    return Some(found);
                 }
             }
+            rounds += 1;
+            let is_over = if self.is_found {
+                started.elapsed() > HOLDER_LIMIT
+            } else {
+                rounds >= FIRST_ROUNDS
+            };
+            if is_over {
+                return None;
+            }
             tokio::time::sleep(ROUND_PAUSE).await;
         }
-        None
     }
 
     async fn ask(&self, node: action::PeerAddress) -> Option<peer::FindReply> {
         let call = peer::FindCall {
-            request: self.request.clone(),
+            request: self.request.to_string(),
             organisation: self.organisation.clone(),
             offset: self.offset,
             wait_ms: WAIT.as_millis() as u32,
@@ -141,12 +93,24 @@
         self.peers.find(node.address, call).await.ok()
     }
 
-    fn take(&mut self, reply: peer::FindReply) -> Found {
+    fn take(&mut self, reply: peer::FindReply) -> Option<Found> {
+        if let Some(plain) = reply.plain {
+            return Some(Found::Plain(plain));
+        }
+        let is_whole = reply.state() == peer::FindState::Kept && reply.finish.is_some();
+        if reply.state() != peer::FindState::Held && !is_whole {
+            return None;
+        }
         let head = reply.record.as_ref().and_then(head);
         let chunks = answer::split_chunks(&reply.text, &reply.chunk_bytes);
         self.offset += reply.text.len() as u64;
-        let part = answer::Part { chunks, finish: reply.finish, next_offset: self.offset };
-        Found { head, part }
+        let part = answer::Part {
+            chunks,
+            finish: reply.finish,
+            next_offset: self.offset,
+            moved_to: Vec::new(),
+        };
+        Some(Found::Model(head, part))
     }
 }
 
--- a/rhubarbrockd/src/settings.rs
+++ b/rhubarbrockd/src/settings.rs
@@ -71,8 +71,6 @@
     pub probe_interval: Duration,
     /// Longest drain, where it is not the release note's.
     pub drain_limit: Option<Duration>,
-    /// File for the recorded inputs of the decisions.
-    pub record_trace: Option<PathBuf>,
 }
 
 /// PEM files for TLS.
@@ -228,9 +226,6 @@
     let platform_url = check_platform_url(&mut checker, &raw.platform_url);
     let peer_key = check_peer_key(&mut checker, raw.peer_key, peer_address);
     let tls = check_tls(&mut checker, raw.tls_certificate, raw.tls_key);
-    if raw.peer_tls_authority.is_some() {
-        checker.fault("peer-tls-authority", "is not supported yet; use --peer-key");
-    }
     let log = check_log(&mut checker, raw.log_format, raw.log_level);
     let limits = Limits {
         max_header_bytes: checker.at_least(
@@ -292,7 +287,6 @@
             .drain_limit_ms
             .filter(|limit_ms| *limit_ms > 0)
             .map(|limit_ms| Duration::from_millis(u64::from(limit_ms))),
-        record_trace: raw.record_trace.map(PathBuf::from),
     })
 }
 
--- a/rhubarbrockd/src/streaming.rs
+++ b/rhubarbrockd/src/streaming.rs
@@ -1,70 +1,93 @@
-//! Answers held by this node, as server-sent events or as a whole.
+//! Answers to model requests, as server-sent events or as a whole.
 
 use std::io;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
 use gotham::helpers::http::Body;
 use http::{HeaderValue, Response, header};
 use rhubarbrock::action;
+use rhubarbrock_schema::peer;
 
-use crate::{answer, body, gate, openai, problem};
+use crate::{answer, body, openai, problem, reader};
 
 /// Content type of server-sent events.
 pub const EVENTS_TYPE: &str = "text/event-stream";
 
-struct Reader {
-    gate: Arc<gate::Gate>,
-    answer: Arc<answer::Answer>,
+/// Time after which a caller should ask again where its answer's holder was lost.
+const HOLDER_RETRY: Duration = Duration::from_secs(1);
+
+struct EventState {
+    reader: reader::Reader,
+    head: Arc<answer::Head>,
     writer: openai::EventWriter,
-    offset: u64,
     is_ended: bool,
 }
 
-/// The answer from a byte offset on, as events while it grows.
-pub fn events(gate: Arc<gate::Gate>, answer: Arc<answer::Answer>, offset: u64) -> Response<Body> {
-    let head = Arc::new(answer.head.clone());
-    let mut response = events_response(&head);
-    let writer = openai::EventWriter::new(head);
-    let reader = Reader { gate, answer, writer, offset, is_ended: false };
-    *response.body_mut() = body::stream(stream::unfold(reader, next_piece));
+/// The answer as events while it grows.
+pub fn events(head: answer::Head, reader: reader::Reader) -> Response<Body> {
+    let head = Arc::new(head);
+    let mut response = Response::new(body::full(Bytes::new()));
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(EVENTS_TYPE));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    insert_request(headers, &head);
+    let writer = openai::EventWriter::new(Arc::clone(&head));
+    let state = EventState { reader, head, writer, is_ended: false };
+    *response.body_mut() = body::stream(stream::unfold(state, next_piece));
     response
 }
 
-async fn next_piece(mut reader: Reader) -> Option<(io::Result<Bytes>, Reader)> {
-    if reader.is_ended {
-        reader.gate.taken(reader.answer.head.request);
+async fn next_piece(mut state: EventState) -> Option<(io::Result<Bytes>, EventState)> {
+    if state.is_ended {
+        state.reader.taken(state.head.request);
         return None;
     }
-    let part = reader.answer.read(reader.offset).await;
-    let piece = reader.writer.part(reader.offset, &part);
-    reader.offset = part.next_offset;
-    reader.is_ended = part.finish.is_some();
-    Some((Ok(piece), reader))
+    let start = state.reader.offset();
+    match state.reader.read().await {
+        Ok(part) => {
+            let piece = state.writer.part(start, &part);
+            state.is_ended = part.finish.is_some();
+            Some((Ok(piece), state))
+        }
+        Err(lost) => {
+            state.is_ended = true;
+            Some((Err(io::Error::other(lost)), state))
+        }
+    }
 }
 
-/// An event stream's response without its body.
-pub fn events_response(head: &answer::Head) -> Response<Body> {
-    let mut response = Response::new(body::full(Bytes::new()));
-    let headers = response.headers_mut();
-    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(EVENTS_TYPE));
-    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
-    insert_request(headers, head);
-    response
+/// The answer as one body, once it has ended.
+pub async fn whole(
+    head: &answer::Head,
+    mut reader: reader::Reader,
+) -> Result<Response<Body>, action::Refusal> {
+    let mut text = String::new();
+    loop {
+        let part = reader.read().await.map_err(|lost| holder_lost(head, lost))?;
+        text.push_str(&part.chunks.concat());
+        if let Some(finish) = part.finish {
+            return whole_response(head, &text, &finish);
+        }
+    }
 }
 
-/// The answer as one body, once it has ended.
-pub async fn whole(answer: &answer::Answer) -> Result<Response<Body>, action::Refusal> {
-    let (text, finish) = answer.whole().await;
-    whole_response(&answer.head, &text, &finish)
+fn holder_lost(head: &answer::Head, lost: reader::HolderLost) -> action::Refusal {
+    action::Refusal {
+        kind: action::RefusalKind::Unavailable,
+        detail: lost.to_string(),
+        outcome: action::Outcome::InDoubt,
+        retry_after: Some(HOLDER_RETRY),
+        request: Some(head.request),
+    }
 }
 
-/// One body from an ended answer's text.
-pub fn whole_response(
+fn whole_response(
     head: &answer::Head,
     text: &str,
-    finish: &rhubarbrock_schema::peer::Finish,
+    finish: &peer::Finish,
 ) -> Result<Response<Body>, action::Refusal> {
     if !finish.error.is_empty() {
         return Err(action::Refusal {
