Measure the request policies; pack shared prefixes, match over gaps

`bench policies` replays seeded traces of both deployments on the decision code against the engine's model with a virtual clock; `bench trace` records a trace and `bench replay` replays one.

--- /dev/null
+++ b/bench/src/deadline_study.rs
@@ -0,0 +1,70 @@
+//! Admission by deadline against accepting all.
+
+use crate::baseline::Policy;
+use crate::outcome::Outcomes;
+use crate::plot::{self, Plot};
+use crate::policies::Extent;
+use crate::replay;
+use crate::report::{self, Figure, Report};
+use crate::trace::Kind;
+use crate::workload::{Deployment, Plan};
+use crate::world::Setup;
+
+/// Offered load that the endpoints can just serve, as a multiple of the ordinary.
+const FULL: f64 = 3.2;
+
+/// Least work in time at twice that load, as a share of that at it.
+const MIN_SHARE: f64 = 0.9;
+
+pub(crate) fn measure(extent: Extent, report: &mut Report) {
+    let mut rows = Vec::new();
+    let mut lines = Vec::new();
+    for admits in [true, false] {
+        let name = if admits { "rhubarbrock" } else { "accept all" };
+        let runs =
+            extent.each(|seed| (run(extent, admits, 1.0, seed), run(extent, admits, 2.0, seed)));
+        let kept =
+            |(once, twice): &(Outcomes, Outcomes)| twice.in_time() as f64 / once.in_time() as f64;
+        let kept = Figure::higher_is_better(runs.iter().map(kept));
+        let per_s = |run: &Outcomes| run.in_time() as f64 / extent.seconds as f64;
+        let late = |run: &Outcomes| run.served_late() as f64 * 100.0 / run.requests.len() as f64;
+        rows.push(vec![
+            name.into(),
+            Figure::higher_is_better(runs.iter().map(|(once, _)| per_s(once))).show(1),
+            Figure::higher_is_better(runs.iter().map(|(_, twice)| per_s(twice))).show(1),
+            kept.show(2),
+            Figure::lower_is_better(runs.iter().map(|(_, twice)| late(twice))).show(2),
+            Figure::lower_is_better(runs.iter().map(|(_, twice)| refused_percent(twice))).show(1),
+            report::verdict(kept.worst >= MIN_SHARE).into(),
+        ]);
+        let is_live = |request: &crate::outcome::Outcome| request.kind == Kind::Commentary;
+        lines.push(plot::first_token_line(&format!("{name}, 2x"), &runs[0].1, is_live));
+    }
+    let text = format!(
+        "The shucking circuit, all commentary with a deadline of 570 ms to the first token and summaries \
+         with 5 s; 1x is {FULL} times the ordinary load, 2x twice that. \"In time\" are requests whose \
+         first token came within their own deadline."
+    );
+    let head = [
+        "admission",
+        "in time at 1x, 1/s",
+        "in time at 2x, 1/s",
+        "kept",
+        "served late at 2x, %",
+        "refused at 2x, %",
+        "target kept ≥ 0.9",
+    ];
+    report.table("Deadlines under overload", &text, &head, &rows);
+    let title = "Commentary at twice the load, seed 1".to_owned();
+    report.plot(Plot { name: "deadline-shucking".into(), title, lines });
+}
+
+fn run(extent: Extent, admits: bool, load: f64, seed: u64) -> Outcomes {
+    let setup = Setup { admits, ..Setup::new(Deployment::Shucking, Policy::Own, seed) };
+    let plan = Plan::new(Deployment::Shucking, extent.seconds).load(FULL * load);
+    replay::replay(&setup, &plan.generate(seed))
+}
+
+fn refused_percent(run: &Outcomes) -> f64 {
+    run.refused() as f64 * 100.0 / run.requests.len() as f64
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,2 +1,41 @@
-//! Placeholder.
-fn main() {}
+//! Measurements of the decisions, without sockets and under a virtual clock.
+
+mod baseline;
+mod choice_study;
+mod deadline_study;
+mod fairness_study;
+mod outcome;
+mod plot;
+mod policies;
+mod replay;
+mod report;
+mod stale_study;
+mod trace;
+mod workload;
+mod world;
+
+use argh::FromArgs;
+
+/// Measures the decisions of rhubarbrock.
+#[derive(FromArgs)]
+struct Bench {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Policies(policies::Policies),
+    Trace(trace::Generate),
+    Replay(policies::Replay),
+}
+
+fn main() -> anyhow::Result<()> {
+    let bench: Bench = argh::from_env();
+    match bench.command {
+        Command::Policies(policies) => policies.run(),
+        Command::Trace(generate) => generate.run(),
+        Command::Replay(replay) => replay.run(),
+    }
+}
--- a/rhubarbrock/src/cache.rs
+++ b/rhubarbrock/src/cache.rs
@@ -26,7 +26,18 @@
     }
 }
 
-type Generation = HashMap<id::BlockHash, Vec<id::EndpointId>>;
+/// What is known of one block.
+#[derive(Debug, Clone, Default)]
+struct Block {
+    /// Endpoints that hold it, the latest told last.
+    holders: Vec<id::EndpointId>,
+    /// Dialogue that it was last sent for; 0 before it was sent.
+    dialogue: u64,
+    /// Whether it was sent for more than one dialogue.
+    is_shared: bool,
+}
+
+type Generation = HashMap<id::BlockHash, Block>;
 
 /// Blocks known to be cached, by endpoint.
 #[derive(Debug, Clone, Default)]
@@ -49,65 +60,81 @@
     }
 
     /// An endpoint stores these blocks.
-    pub fn store(
-        &mut self,
-        now: Duration,
-        endpoint: id::EndpointId,
-        blocks: impl IntoIterator<Item = id::BlockHash>,
-    ) {
+    pub fn store(&mut self, now: Duration, endpoint: id::EndpointId, blocks: &[id::BlockHash]) {
         for block in blocks {
-            self.turn_over(now);
-            let older = self.old.remove(&block);
-            let holders = self.young.entry(block).or_insert_with(|| older.unwrap_or_default());
+            let max_holders = self.settings.max_holders;
+            let holders = &mut self.touch(now, *block).holders;
             holders.retain(|holder| *holder != endpoint);
-            if holders.len() >= self.settings.max_holders {
+            if holders.len() >= max_holders {
                 holders.remove(0);
             }
             holders.push(endpoint);
         }
     }
 
-    /// An endpoint no longer holds these blocks.
-    pub fn remove(
+    /// These blocks are sent to an endpoint for a dialogue.
+    pub fn send(
         &mut self,
+        now: Duration,
         endpoint: id::EndpointId,
-        blocks: impl IntoIterator<Item = id::BlockHash>,
+        dialogue: u64,
+        blocks: &[id::BlockHash],
     ) {
+        self.store(now, endpoint, blocks);
+        for block in blocks {
+            let block = self.touch(now, *block);
+            block.is_shared |= block.dialogue != 0 && block.dialogue != dialogue;
+            block.dialogue = dialogue;
+        }
+    }
+
+    /// An endpoint no longer holds these blocks.
+    pub fn remove(&mut self, endpoint: id::EndpointId, blocks: &[id::BlockHash]) {
         for block in blocks {
             for generation in [&mut self.young, &mut self.old] {
-                if let Some(holders) = generation.get_mut(&block) {
-                    holders.retain(|holder| *holder != endpoint);
+                if let Some(block) = generation.get_mut(block) {
+                    block.holders.retain(|holder| *holder != endpoint);
                 }
             }
         }
     }
 
-    /// For each endpoint that holds the first block, how many blocks it holds in a row.
+    /// For each endpoint that holds some of the blocks, how many from the first on.
+    ///
+    /// An endpoint that holds a block holds those before it, as engines drop the
+    /// last blocks of a prefix first; so a lost event leaves no hole.
     pub fn matches(&self, blocks: &[id::BlockHash]) -> Vec<(id::EndpointId, usize)> {
         let mut matches: Vec<(id::EndpointId, usize)> = Vec::new();
-        for (index, block) in blocks.iter().enumerate() {
-            let holders = self.holders(*block);
-            if index == 0 {
-                matches = holders.iter().map(|holder| (*holder, 1)).collect();
-                continue;
-            }
-            let mut is_matched = false;
-            for (holder, length) in &mut matches {
-                if *length == index && holders.contains(holder) {
-                    *length += 1;
-                    is_matched = true;
+        for (index, block) in blocks.iter().enumerate().rev() {
+            let holders = self.block(*block).map_or(&[][..], |block| &block.holders);
+            for holder in holders {
+                if matches.iter().all(|(found, _)| found != holder) {
+                    matches.push((*holder, index + 1));
                 }
             }
-            if !is_matched {
-                break;
-            }
         }
         matches
     }
 
-    fn holders(&self, block: id::BlockHash) -> &[id::EndpointId] {
-        let holders = self.young.get(&block).or_else(|| self.old.get(&block));
-        holders.map_or(&[], Vec::as_slice)
+    /// How many of the blocks, from the first on, were sent for other dialogues than this.
+    pub fn shared(&self, dialogue: u64, blocks: &[id::BlockHash]) -> usize {
+        let is_shared = |block: &id::BlockHash| {
+            let known = self.block(*block);
+            known.is_some_and(|known| {
+                known.is_shared || (known.dialogue != 0 && known.dialogue != dialogue)
+            })
+        };
+        blocks.iter().rposition(is_shared).map_or(0, |index| index + 1)
+    }
+
+    fn block(&self, block: id::BlockHash) -> Option<&Block> {
+        self.young.get(&block).or_else(|| self.old.get(&block))
+    }
+
+    fn touch(&mut self, now: Duration, block: id::BlockHash) -> &mut Block {
+        self.turn_over(now);
+        let older = self.old.remove(&block);
+        self.young.entry(block).or_insert_with(|| older.unwrap_or_default())
     }
 
     fn turn_over(&mut self, now: Duration) {
--- a/rhubarbrock/src/choice.rs
+++ b/rhubarbrock/src/choice.rs
@@ -18,6 +18,8 @@
     limit: f64,
     matched_tokens: u32,
     is_home: bool,
+    /// Place among the endpoints that its shared prefix is packed onto.
+    rank: usize,
     price: f64,
     delay_us: f64,
 }
@@ -50,17 +52,17 @@
         return Err(lack(routing::Lack::NoneLive, RETRY_AFTER));
     };
     let matches = router.knowledge.matches(ask.blocks);
-    let homes = homes(router, now, ask, members);
+    let homes = Homes::new(router, now, ask, members);
     let tally = gather(router, now, ask, members, &matches, &homes);
     if let Some(probe) = tally.probe.filter(|_| ask.may_probe && ask.exclude.is_empty()) {
         let pick = Pick { rule: routing::Rule::Probe, bound: probe.limit, cost_us: 0.0 };
         return Ok(chosen(ask, &probe, pick, tally.sound.len() + 1));
     }
     if !tally.sound.is_empty() {
-        return pick(router, ask, &tally.sound, false);
+        return pick(router, ask, &homes, &tally.sound, false);
     }
     if !tally.unreachable.is_empty() {
-        return pick(router, ask, &tally.unreachable, true);
+        return pick(router, ask, &homes, &tally.unreachable, true);
     }
     if let Some(probe) = tally.probe {
         let pick = Pick { rule: routing::Rule::Probe, bound: probe.limit, cost_us: 0.0 };
@@ -79,21 +81,59 @@
     routing::NoEndpoint { why, retry_after }
 }
 
-/// The endpoints that rank highest for the request's dialogue; the first is its home.
-fn homes(
+/// Endpoints at which other nodes will look for a request's prefix, too.
+#[derive(Debug, Default)]
+struct Homes {
+    /// Where the dialogue's turns go.
+    dialogue: Option<id::EndpointId>,
+    /// Where requests with the same shared prefix are packed, best first.
+    packed: Vec<id::EndpointId>,
+    /// Prompt tokens that other dialogues have as well.
+    shared_tokens: u32,
+}
+
+impl Homes {
+    fn new(
+        router: &routing::Router,
+        now: Duration,
+        ask: &routing::Ask<'_>,
+        members: &view::Members,
+    ) -> Homes {
+        if ask.dialogue == 0 || !router.settings.follows_home {
+            return Homes::default();
+        }
+        let dialogue = ranked(router, now, ask.dialogue, members, 1).first().copied();
+        let shared_blocks = router.knowledge.shared(ask.dialogue, ask.blocks);
+        let packed = match shared_blocks.checked_ilog2() {
+            // A prefix that grows keeps its key until its length has doubled.
+            Some(power) => {
+                let key = ask.blocks[(1 << power) - 1];
+                ranked(router, now, key, members, router.settings.packed)
+            }
+            None => Vec::new(),
+        };
+        Homes { dialogue, packed, shared_tokens: shared_blocks as u32 * BLOCK_TOKENS }
+    }
+
+    fn rank(&self, endpoint: id::EndpointId) -> usize {
+        let rank = self.packed.iter().position(|packed| *packed == endpoint);
+        rank.unwrap_or(self.packed.len())
+    }
+}
+
+/// The sound endpoints that rank highest for a key, best first.
+fn ranked(
     router: &routing::Router,
     now: Duration,
-    ask: &routing::Ask<'_>,
+    key: u64,
     members: &view::Members,
+    count: usize,
 ) -> Vec<id::EndpointId> {
-    if ask.dialogue == 0 || !router.settings.follows_home {
-        return Vec::new();
-    }
     let mut ranked: Vec<(u64, id::EndpointId)> = Vec::new();
     for id in &members.all {
-        let weight = rendezvous::score(ask.dialogue, *id);
+        let weight = rendezvous::score(key, *id);
         let last = ranked.last().map_or(0, |(weight, _)| *weight);
-        if ranked.len() >= router.settings.homes && weight <= last {
+        if ranked.len() >= count && weight <= last {
             continue;
         }
         let known = &router.view.endpoints[id];
@@ -102,7 +142,7 @@
         }
         ranked.push((weight, *id));
         ranked.sort_unstable_by(|a, b| b.cmp(a));
-        ranked.truncate(router.settings.homes);
+        ranked.truncate(count);
     }
     ranked.into_iter().map(|(_, endpoint)| endpoint).collect()
 }
@@ -114,11 +154,15 @@
     ask: &routing::Ask<'_>,
     members: &view::Members,
     matches: &[(id::EndpointId, usize)],
-    homes: &[id::EndpointId],
+    homes: &Homes,
 ) -> Tally {
     let mut tally = Tally::default();
-    let strangers = homes.iter().filter(|home| members.subset.binary_search(home).is_err());
-    for id in members.subset.iter().chain(strangers) {
+    let mut compared = members.subset.clone();
+    compared.extend(homes.dialogue);
+    compared.extend(&homes.packed);
+    compared.sort_unstable();
+    compared.dedup();
+    for id in &compared {
         let known = &router.view.endpoints[id];
         tally.live += 1;
         if ask.exclude.contains(id) {
@@ -131,10 +175,11 @@
         }
         let candidate = Candidate {
             endpoint: *id,
-            load: known.load(now, router.nodes, router.settings.load_trusted),
+            load: known.load(now, router.settings.load_trusted),
             limit: known.limit.requests(),
             matched_tokens: matched_tokens(matches, *id),
-            is_home: homes.first() == Some(id),
+            is_home: homes.dialogue == Some(*id),
+            rank: homes.rank(*id),
             price: known.listing.price_per_hour,
             delay_us: delay_us(router, now, known),
         };
@@ -184,11 +229,12 @@
 fn pick(
     router: &routing::Router,
     ask: &routing::Ask<'_>,
+    homes: &Homes,
     candidates: &[Candidate],
     is_last_resort: bool,
 ) -> Result<routing::Choice, routing::NoEndpoint> {
     let bound = bound(&router.settings, candidates);
-    let costing = Costing::new(router, ask, candidates);
+    let costing = Costing::new(router, ask, homes, candidates);
     let open = candidates.iter().filter(|c| c.load.requests < c.limit);
     let cheapest = open
         .filter(|candidate| candidate.load.requests < bound)
@@ -250,32 +296,45 @@
 /// How candidates are compared: expected wait for the first token, and penalties.
 struct Costing {
     prompt_tokens: f64,
-    /// Tokens expected at the home besides those known; 0 where a cache is known to hold them.
+    /// Tokens expected in the cache of the dialogue's home, besides those known.
     home_tokens: f64,
+    /// Tokens that later turns will find there if this one goes there.
+    future_tokens: f64,
     prefill_us_per_token: f64,
+    /// What computing a token of this prompt counts, as it slows the endpoint's other requests.
+    prefill_weight: f64,
     slot_us: f64,
     request_us: f64,
+    rank_us: f64,
     price_us: f64,
     lowest_price: f64,
 }
 
 impl Costing {
-    fn new(router: &routing::Router, ask: &routing::Ask<'_>, candidates: &[Candidate]) -> Costing {
+    fn new(
+        router: &routing::Router,
+        ask: &routing::Ask<'_>,
+        homes: &Homes,
+        candidates: &[Candidate],
+    ) -> Costing {
         let rates = router.rates(ask.service);
+        let trust = router.settings.home_trust;
         let settled = f64::from(ask.settled_tokens);
         let known = candidates.iter().map(|c| c.matched_tokens).max().unwrap_or(0);
-        let is_known = f64::from(known) >= settled * router.settings.home_trust;
+        // Once a cache is known to hold the turns before, the home has no claim on them.
+        let is_known = f64::from(known) >= settled * trust;
+        let own_tokens = f64::from(ask.prompt_tokens.saturating_sub(homes.shared_tokens));
         let is_first_turn = ask.settled_tokens == 0;
-        let expected = if is_first_turn { f64::from(ask.prompt_tokens) } else { settled };
-        let is_used = is_first_turn || !is_known;
-        let home_tokens = if is_used { expected * router.settings.home_trust } else { 0.0 };
         let prices = candidates.iter().map(|c| c.price).filter(|price| *price > 0.0);
         Costing {
             prompt_tokens: f64::from(ask.prompt_tokens),
-            home_tokens,
+            home_tokens: if is_known { 0.0 } else { settled * trust },
+            future_tokens: if is_first_turn { own_tokens * trust } else { 0.0 },
             prefill_us_per_token: rates.prefill_us_per_token,
+            prefill_weight: router.settings.prefill_weight,
             slot_us: rates.service_us,
             request_us: router.settings.request_cost.as_micros() as f64,
+            rank_us: router.settings.rank_cost.as_micros() as f64,
             price_us: router.price_cost.as_micros() as f64,
             lowest_price: prices.min_by(f64::total_cmp).unwrap_or(0.0),
         }
@@ -283,12 +342,18 @@
 
     fn cost_us(&self, candidate: &Candidate) -> f64 {
         let known = f64::from(candidate.matched_tokens).min(self.prompt_tokens);
-        let cached = if candidate.is_home { known.max(self.home_tokens) } else { known };
-        let prefill = candidate.load.prefill_tokens + self.prompt_tokens - cached;
+        let (home, future) = match candidate.is_home {
+            true => (self.home_tokens, self.future_tokens),
+            false => (0.0, 0.0),
+        };
+        let cached = known.max(home) + future;
+        let recomputed = (self.prompt_tokens - cached) * self.prefill_weight;
+        let prefill = candidate.load.prefill_tokens + recomputed;
         let running = (candidate.load.requests - candidate.load.waiting).max(1.0);
         prefill * self.prefill_us_per_token
             + candidate.load.requests * self.request_us
             + candidate.load.waiting * self.slot_us / running
+            + candidate.rank as f64 * self.rank_us
             + candidate.delay_us
             + self.price_penalty_us(candidate)
     }
--- a/rhubarbrock/src/dispatch.rs
+++ b/rhubarbrock/src/dispatch.rs
@@ -60,6 +60,14 @@
     },
 }
 
+/// How an endpoint is chosen for a request.
+pub type Choose<'a> = dyn FnMut(
+        &routing::Router,
+        Duration,
+        &routing::Ask<'_>,
+    ) -> Result<routing::Choice, routing::NoEndpoint>
+    + 'a;
+
 /// Settings of a [`Dispatcher`].
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Settings {
@@ -177,12 +185,17 @@
 
     /// What to do now; call it after each event and at least each 100 ms.
     pub fn poll(&mut self, now: Duration) -> Vec<Step> {
+        self.poll_with(now, &mut |router, now, ask| router.choose(now, ask))
+    }
+
+    /// The same with another choice of endpoints, to compare with.
+    pub fn poll_with(&mut self, now: Duration, choose: &mut Choose<'_>) -> Vec<Step> {
         let mut steps = Vec::new();
         self.refuse_late(now, &mut steps);
         let services: Vec<String> = self.router.services().map(str::to_owned).collect();
         for service in services {
-            self.poll_retries(now, &service, &mut steps);
-            while let Some(step) = self.next_step(now, &service) {
+            self.poll_retries(now, &service, choose, &mut steps);
+            while let Some(step) = self.next_step(now, &service, choose) {
                 steps.push(step);
             }
         }
@@ -217,14 +230,20 @@
         }
     }
 
-    fn poll_retries(&mut self, now: Duration, service: &str, steps: &mut Vec<Step>) {
+    fn poll_retries(
+        &mut self,
+        now: Duration,
+        service: &str,
+        choose: &mut Choose<'_>,
+        steps: &mut Vec<Step>,
+    ) {
         let waiting = self.retries.get(service).map_or(0, VecDeque::len);
         for _ in 0..waiting {
             let retries = self.retries.get_mut(service).expect("the queue was counted");
             let Some(ticket) = retries.pop_front() else {
                 return;
             };
-            let choice = self.choose(now, ticket);
+            let choice = choose(&self.router, now, &ask(&self.entries[&ticket]));
             match choice {
                 Ok(choice) => steps.push(self.send(now, ticket, choice)),
                 Err(_) => self.retries.entry(service.to_owned()).or_default().push_back(ticket),
@@ -232,7 +251,7 @@
         }
     }
 
-    fn next_step(&mut self, now: Duration, service: &str) -> Option<Step> {
+    fn next_step(&mut self, now: Duration, service: &str, choose: &mut Choose<'_>) -> Option<Step> {
         let ticket = self.fairness.front(service)?.ticket;
         let entry = &self.entries[&ticket];
         let rates = self.router.rates(service);
@@ -241,7 +260,7 @@
         if let Err(refusal) = rechecked {
             return Some(self.refuse(ticket, refusal));
         }
-        let choice = self.choose(now, ticket).ok()?;
+        let choice = choose(&self.router, now, &ask(&self.entries[&ticket])).ok()?;
         self.fairness.pop(service);
         let entry = self.entries[&ticket].clone();
         self.forget_deadline(&entry);
@@ -250,14 +269,6 @@
         Some(self.send(now, ticket, choice))
     }
 
-    fn choose(
-        &self,
-        now: Duration,
-        ticket: fairness::Ticket,
-    ) -> Result<routing::Choice, routing::NoEndpoint> {
-        self.router.choose(now, &ask(&self.entries[&ticket]))
-    }
-
     fn send(&mut self, now: Duration, ticket: fairness::Ticket, choice: routing::Choice) -> Step {
         self.last_attempt += 1;
         let attempt = self.last_attempt;
--- a/rhubarbrock/src/endpoint.rs
+++ b/rhubarbrock/src/endpoint.rs
@@ -227,21 +227,19 @@
 
     /// Load corrected by own requests since the last report.
     ///
-    /// `nodes` is how many nodes send to the endpoint; each is taken to have
-    /// sent and ended as much as this one since the report. A report older than
-    /// `trusted` is not used.
-    pub fn load(&self, now: Duration, nodes: f64, trusted: Duration) -> Load {
+    /// A report older than `trusted` is not used.
+    pub fn load(&self, now: Duration, trusted: Duration) -> Load {
         let own = self.sent.len() as f64;
         let waits = self.sent.iter().filter(|sent| !sent.has_first_token);
         let prefill_tokens = waits.map(|sent| f64::from(sent.uncached_tokens)).sum();
         let fresh = self.load.filter(|(_, taken_at)| now.saturating_sub(*taken_at) <= trusted);
         let Some((report, taken_at)) = fresh else {
-            return Load { requests: own * nodes, waiting: 0.0, prefill_tokens, is_fresh: false };
+            return Load { requests: own, waiting: 0.0, prefill_tokens, is_fresh: false };
         };
         let sent_since = self.sent.iter().filter(|sent| sent.at > taken_at).count() as f64;
         let ended = self.ended.iter().filter(|(sent_at, _)| *sent_at <= taken_at).count() as f64;
         let reported = f64::from(report.running + report.waiting);
-        let requests = (reported + (sent_since - ended) * nodes).max(own);
+        let requests = (reported + sent_since - ended).max(own);
         let waiting = f64::from(report.waiting).min(requests);
         Load { requests, waiting, prefill_tokens, is_fresh: true }
     }
--- a/rhubarbrock/src/routing.rs
+++ b/rhubarbrock/src/routing.rs
@@ -13,6 +13,9 @@
 
 use crate::{cache, choice, endpoint, health, id, limit, rates, view};
 
+/// Fewest tokens whose mean interval is learnt from, so that a single slow step doesn't count.
+const MIN_MARK_TOKENS: u32 = 32;
+
 /// Settings of a [`Router`].
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -22,12 +25,16 @@
     pub load_slack: f64,
     /// Endpoints of a service whose load this node follows.
     pub subset_size: usize,
-    /// Endpoints beyond the subset that a dialogue may be sent to.
-    pub homes: usize,
+    /// Endpoints, in order of rank, that requests with the same shared prefix are packed onto.
+    pub packed: usize,
+    /// Cost of each further rank among those.
+    pub rank_cost: Duration,
     /// Whether a dialogue's home endpoint is preferred where no cache is known.
     pub follows_home: bool,
     /// Share of a dialogue's earlier turns expected in its home's cache, 0 to 1.
     pub home_trust: f64,
+    /// What computing a prompt token counts besides the wait for it, as it slows other requests.
+    pub prefill_weight: f64,
     /// Cost of one more request beside those running at an endpoint.
     pub request_cost: Duration,
     /// Cost of paying twice the lowest price, where the release weighs cost first.
@@ -58,12 +65,14 @@
     fn default() -> Settings {
         Settings {
             load_bound: 1.25,
-            load_slack: 2.0,
+            load_slack: 6.0,
             subset_size: 64,
-            homes: 2,
+            packed: 6,
+            rank_cost: Duration::from_micros(1500),
             follows_home: true,
             home_trust: 0.8,
-            request_cost: Duration::from_millis(5),
+            prefill_weight: 4.0,
+            request_cost: Duration::from_micros(1500),
             cost_price_cost: Duration::from_millis(20),
             latency_price_cost: Duration::ZERO,
             far_cost: Duration::from_millis(10),
@@ -408,8 +417,8 @@
         stored: &[id::BlockHash],
         removed: &[id::BlockHash],
     ) {
-        self.knowledge.remove(endpoint, removed.iter().copied());
-        self.knowledge.store(now, endpoint, stored.iter().copied());
+        self.knowledge.remove(endpoint, removed);
+        self.knowledge.store(now, endpoint, stored);
     }
 
     /// Chooses an endpoint; tells the router nothing yet: see [`Router::on_sent`].
@@ -448,7 +457,7 @@
         };
         let before = self.attempts.insert(attempt, sent);
         assert!(before.is_none(), "attempt {attempt} is sent once");
-        self.knowledge.store(now, endpoint, ask.blocks.iter().copied());
+        self.knowledge.send(now, endpoint, ask.dialogue, ask.blocks);
     }
 
     /// The first token of an attempt's answer came.
@@ -477,7 +486,7 @@
         let Some((marked_at, marked_tokens)) = sent.mark else {
             return;
         };
-        if tokens <= marked_tokens {
+        if tokens < marked_tokens + MIN_MARK_TOKENS {
             return;
         }
         sent.mark = Some((now, tokens));
@@ -533,7 +542,7 @@
         failure: Failure,
     ) -> Option<Change> {
         let sent = self.attempts.remove(&attempt)?;
-        self.knowledge.remove(sent.endpoint, sent.blocks.iter().copied());
+        self.knowledge.remove(sent.endpoint, &sent.blocks);
         let endpoint = self.view.endpoints.get_mut(&sent.endpoint)?;
         endpoint.end(now, attempt);
         match failure {
@@ -558,7 +567,7 @@
     pub fn load(&self, now: Duration, endpoint: id::EndpointId) -> endpoint::Load {
         let known = self.view.endpoints.get(&endpoint);
         let trusted = self.settings.load_trusted;
-        known.map_or_else(endpoint::Load::default, |known| known.load(now, self.nodes, trusted))
+        known.map_or_else(endpoint::Load::default, |known| known.load(now, trusted))
     }
 
     /// An endpoint as the router sees it.
