--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,19 @@
 //! Measurements of the decisions, without sockets and under a virtual clock.
 
+mod baseline;
+mod choice_study;
+mod deadline_study;
+mod fairness_study;
+mod outcome;
+mod plot;
+mod policies;
+mod replay;
+mod report;
 mod soak;
+mod stale_study;
+mod trace;
+mod workload;
+mod world;
 
 use argh::FromArgs;
 
@@ -15,11 +28,17 @@
 #[argh(subcommand)]
 enum Command {
     Soak(soak::Soak),
+    Policies(policies::Policies),
+    Trace(trace::Generate),
+    Replay(policies::Replay),
 }
 
 fn main() -> anyhow::Result<()> {
     let bench: Bench = argh::from_env();
     match bench.command {
         Command::Soak(soak) => soak.run(),
+        Command::Policies(policies) => policies.run(),
+        Command::Trace(generate) => generate.run(),
+        Command::Replay(replay) => replay.run(),
     }
 }
