Let no forged or damaged claims record stop a node

Cause: a new fuzz of topic "claims" (8,000 iterations of 32 steps: damaged, forged and late records, gaps) stopped the node twice, both in the first seconds: a record time near the largest number overflowed the expiry, and an end forged with the node's own nonce met an assert.

Ruled out: skipping such ends. They are well formed, and every other node believes them; the holder says the same as the others.

Change: times saturate; a claim that somebody else ended is told as recorded. Seen failing first: on the code as it was before.

--- a/rhubarbrock/src/claim.rs
+++ b/rhubarbrock/src/claim.rs
@@ -384,7 +384,7 @@
                 continue;
             }
             self.whole_from_ms.get_or_insert(record.time_ms);
-            self.next = record.offset + 1;
+            self.next = record.offset.saturating_add(1);
             let changes = self.table.fold(now, record.offset, record.time_ms, &record.bytes);
             for change in changes {
                 self.note_read_back(record.offset, change);
@@ -497,8 +497,9 @@
     /// Whether a key that is not in the table was not used within its life.
     fn covers_key_life(&self) -> bool {
         let life_ms = self.config.key_life.as_millis() as u64;
-        self.whole_from_ms
-            .is_some_and(|from_ms| from_ms == 0 || from_ms + life_ms <= self.table.latest_ms())
+        self.whole_from_ms.is_some_and(|from_ms| {
+            from_ms == 0 || from_ms.saturating_add(life_ms) <= self.table.latest_ms()
+        })
     }
 
     fn settle_all(&mut self, now: Duration, touched: Option<&[claim_table::KeyHash]>) {
--- a/rhubarbrock/src/claim_call.rs
+++ b/rhubarbrock/src/claim_call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::claim::{Conclusion, Config, InDoubt, NewCall, NotRun};
-use crate::claim_table::{self, Entry, KeyHash, Nonce, RequestHash, State, Table, Turn};
+use crate::claim_table::{self, Answer, Entry, KeyHash, Nonce, RequestHash, State, Table, Turn};
 use crate::id::Offset;
 
 /// How far a call has come. Times are monotonic.
@@ -259,7 +259,10 @@
         (State::NotRun { .. }, Stage::Refusing { reason, .. }) => {
             Step::Tell(view.config.not_run(reason))
         }
-        (state, stage) => panic!("a claim that was not dispatched is {state:?} in {stage:?}"),
+        // Only a record that this node did not write can end its claim otherwise.
+        (State::NotRun { .. }, _) => Step::Tell(view.config.not_run(NotRun::Withdrawn)),
+        (State::Answered(answer), _) => answered(answer),
+        (State::InDoubt, _) => in_doubt(InDoubt::Recorded),
     }
 }
 
@@ -286,9 +289,7 @@
         return Step::Tell(Conclusion::Mismatch);
     }
     match &entry.state {
-        State::Answered(answer) => {
-            Step::Tell(Conclusion::Answered { answer: answer.clone(), repeated: true })
-        }
+        State::Answered(answer) => answered(answer),
         State::InDoubt => in_doubt(InDoubt::Recorded),
         State::Open => {
             let is_silent = view.now > entry.read_at + view.config.silence_limit();
@@ -319,6 +320,10 @@
     }
 }
 
+fn answered(answer: &Answer) -> Step {
+    Step::Tell(Conclusion::Answered { answer: answer.clone(), repeated: true })
+}
+
 fn in_doubt(reason: InDoubt) -> Step {
     Step::Tell(Conclusion::InDoubt { reason })
 }
--- a/rhubarbrock/src/claim_table.rs
+++ b/rhubarbrock/src/claim_table.rs
@@ -324,7 +324,7 @@
         }
         match sequence.claims.get(&place.position) {
             Some(&claimed) if claimed != nonce => Turn::Taken,
-            _ if place.position == sequence.answered + 1 => Turn::Now,
+            _ if place.position - 1 == sequence.answered => Turn::Now,
             _ => Turn::Later,
         }
     }
@@ -367,7 +367,7 @@
         let latest_ms = self.latest_ms;
         let life_ms = self.key_life_ms;
         while let Some(&(time_ms, key)) = self.live.front()
-            && time_ms + life_ms < latest_ms
+            && time_ms.saturating_add(life_ms) < latest_ms
         {
             self.live.pop_front();
             if let Some(entry) = self.entries.get_mut(&key)
@@ -378,7 +378,7 @@
             }
         }
         while let Some(&(time_ms, key)) = self.expired.front()
-            && time_ms + 2 * life_ms < latest_ms
+            && time_ms.saturating_add(2 * life_ms) < latest_ms
         {
             self.expired.pop_front();
             if self.entries.get(&key).is_some_and(|entry| entry.time_ms == time_ms) {
@@ -386,7 +386,7 @@
             }
         }
         while let Some(&(time_ms, hash)) = self.sequence_ages.front()
-            && time_ms + life_ms < latest_ms
+            && time_ms.saturating_add(life_ms) < latest_ms
         {
             self.sequence_ages.pop_front();
             if self.sequences.get(&hash).is_some_and(|sequence| sequence.time_ms == time_ms) {
--- /dev/null
+++ b/rhubarbrock/tests/claim_fuzz.rs
@@ -0,0 +1,211 @@
+//! Arbitrary records in topic "claims" stop no node and make no call run twice.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+use prost::Message;
+use rhubarbrock::claim::{self, Action, AppendResult, Claims, DispatchResult};
+use rhubarbrock_schema::log::{self, claim_entry};
+
+#[derive(Debug, Clone, TypeGenerator)]
+enum Step {
+    Begin { key: u8, position: u8, repeated: bool },
+    ReadOwn,
+    ReadOwnDamaged { at: u16, bits: u8 },
+    ReadForged { entry: Forged, late: bool },
+    ReadBytes([u8; 12]),
+    Gap(u8),
+    Tick(u16),
+}
+
+#[derive(Debug, Clone, TypeGenerator)]
+enum Forged {
+    Claim { key: u8, is_own_nonce: bool, base: u64, position: u64 },
+    End { key: u8, is_own_nonce: bool, outcome: u8, status: u32 },
+    Refusal { key: u8, is_own_nonce: bool },
+}
+
+/// One node, whose log an adversary writes to.
+struct Node {
+    claims: Claims,
+    now: Duration,
+    next: u64,
+    calls: u64,
+    /// Records appended and not read back.
+    own: Vec<Vec<u8>>,
+    own_nonce: u64,
+    dispatched: BTreeSet<u64>,
+    finished: BTreeSet<u64>,
+}
+
+impl Node {
+    fn new() -> Node {
+        let mut claims = Claims::new(claim::Config::new(), 1, 1);
+        let page = claim::Page { records: Vec::new(), next: 1, oldest: 1, end: 1 };
+        claims.on_records(Duration::ZERO, page);
+        Node {
+            claims,
+            now: Duration::ZERO,
+            next: 1,
+            calls: 0,
+            own: Vec::new(),
+            own_nonce: 0,
+            dispatched: BTreeSet::new(),
+            finished: BTreeSet::new(),
+        }
+    }
+
+    fn take(&mut self, step: &Step) {
+        match step {
+            Step::Begin { key, position, repeated } => self.begin(*key, *position, *repeated),
+            Step::ReadOwn => {
+                if let Some(bytes) = self.own.pop() {
+                    self.read(bytes, 1);
+                }
+            }
+            Step::ReadOwnDamaged { at, bits } => {
+                let mut bytes = self.own.last().cloned().unwrap_or_default();
+                let place = usize::from(*at) % bytes.len().max(1);
+                if let Some(byte) = bytes.get_mut(place) {
+                    *byte ^= bits;
+                }
+                self.read(bytes, 1);
+            }
+            Step::ReadForged { entry, late } => {
+                let entries = vec![self.forge(entry)];
+                let bytes = log::ClaimBatch { entries }.encode_to_vec();
+                self.read(bytes, if *late { u64::MAX } else { 1 });
+            }
+            Step::ReadBytes(bytes) => self.read(bytes.to_vec(), 1),
+            Step::Gap(records) => {
+                self.next += u64::from(*records);
+                let next = self.next;
+                let page = claim::Page { records: Vec::new(), next, oldest: next, end: next };
+                let actions = self.claims.on_records(self.now, page);
+                self.perform(actions);
+            }
+            Step::Tick(ms) => {
+                self.now += Duration::from_millis(u64::from(*ms));
+                let actions = self.claims.tick(self.now, self.now);
+                self.perform(actions);
+            }
+        }
+    }
+
+    fn begin(&mut self, key: u8, position: u8, repeated: bool) {
+        self.calls += 1;
+        let position = u64::from(position % 4);
+        let new = claim::NewCall {
+            call: self.calls,
+            organisation: "trust".to_owned(),
+            key: Some(key_name(key)),
+            repeated,
+            key_created: None,
+            request_sha256: [1; 32],
+            service: "order-desk".to_owned(),
+            place: (position > 0).then(|| claim::Place { sequence: "round".to_owned(), position }),
+        };
+        let actions = self.claims.begin(self.now, self.now, new);
+        self.perform(actions);
+    }
+
+    fn read(&mut self, bytes: Vec<u8>, time_ms: u64) {
+        let record = claim::Record { offset: self.next, time_ms, bytes };
+        self.next += 1;
+        let next = self.next;
+        let page = claim::Page { records: vec![record], next, oldest: 1, end: next };
+        let actions = self.claims.on_records(self.now, page);
+        self.perform(actions);
+    }
+
+    fn perform(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Append { batch, record } => {
+                    self.note_nonce(&record);
+                    self.own.push(record);
+                    let result = AppendResult::Unknown;
+                    let more = self.claims.on_append_result(self.now, batch, result);
+                    self.perform(more);
+                }
+                Action::Dispatch { call, .. } => {
+                    assert!(self.dispatched.insert(call), "call {call} is dispatched twice");
+                    if self.claims.on_dispatched(self.now, call) {
+                        let content_type = "text/plain".to_owned();
+                        let body = Vec::new();
+                        let result = DispatchResult::Answered { status: 200, content_type, body };
+                        let more = self.claims.on_ended(self.now, call, result);
+                        self.perform(more);
+                    }
+                }
+                Action::Finish { call, .. } => {
+                    assert!(self.finished.insert(call), "call {call} is concluded twice");
+                }
+            }
+        }
+    }
+
+    fn note_nonce(&mut self, record: &[u8]) {
+        let batch = log::ClaimBatch::decode(record).expect("a node writes what can be read");
+        for entry in batch.entries {
+            if let Some(claim_entry::Body::Claim(claim)) = entry.body {
+                self.own_nonce = claim.nonce;
+            }
+        }
+    }
+
+    fn forge(&self, forged: &Forged) -> log::ClaimEntry {
+        let organisation = "trust".to_owned();
+        let nonce_of = |is_own: bool| if is_own { self.own_nonce } else { 7 };
+        let body = match *forged {
+            Forged::Claim { key, is_own_nonce, base, position } => {
+                claim_entry::Body::Claim(log::Claim {
+                    organisation,
+                    key: key_name(key),
+                    request_sha256: vec![1; 32],
+                    nonce: nonce_of(is_own_nonce),
+                    service: "order-desk".to_owned(),
+                    sequence: "round".to_owned(),
+                    position,
+                    base,
+                    ..log::Claim::default()
+                })
+            }
+            Forged::End { key, is_own_nonce, outcome, status } => {
+                claim_entry::Body::End(log::ClaimEnd {
+                    organisation,
+                    key: key_name(key),
+                    nonce: nonce_of(is_own_nonce),
+                    outcome: i32::from(outcome % 5),
+                    status,
+                    ..log::ClaimEnd::default()
+                })
+            }
+            Forged::Refusal { key, is_own_nonce } => claim_entry::Body::Refusal(log::Refusal {
+                organisation,
+                key: key_name(key),
+                request_sha256: vec![1; 32],
+                nonce: nonce_of(is_own_nonce),
+            }),
+        };
+        log::ClaimEntry { body: Some(body) }
+    }
+}
+
+fn key_name(key: u8) -> String {
+    format!("key-{}", key % 2)
+}
+
+#[test]
+fn wrong_records_stop_no_node() {
+    bolero::check!().with_type::<[Step; 32]>().with_iterations(8_000).for_each(|steps| {
+        let mut node = Node::new();
+        for step in steps {
+            node.take(step);
+        }
+        node.now += claim::Config::new().conclusion_limit() + Duration::from_secs(1);
+        node.take(&Step::Tick(0));
+        assert_eq!(node.claims.waiting_calls(), 0);
+    });
+}
