Plan capacity by price, target and the loss of a data centre

Cause: the cheapest instances go on seconds of notice; cost must stay low while the latency target is kept.

The planner sizes by Erlang C, spreads reclaimable replicas so that a data centre's loss leaves what is needed, moves idle replicas before it buys, backs off from refused places with jitter, and gives back late.

The daemon does not call the planner yet.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -14,6 +14,7 @@
 mod trace;
 mod workload;
 mod world;
+mod capacity_plan;
 
 use argh::FromArgs;
 
@@ -31,6 +32,7 @@
     Policies(policies::Policies),
     Trace(trace::Generate),
     Replay(policies::Replay),
+    CapacityPlan(capacity_plan::CapacityPlan),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -40,5 +42,6 @@
         Command::Policies(policies) => policies.run(),
         Command::Trace(generate) => generate.run(),
         Command::Replay(replay) => replay.run(),
+        Command::CapacityPlan(plan) => plan.run(),
     }
 }
