--- a/bench/src/capacity_plan.rs
+++ b/bench/src/capacity_plan.rs
@@ -122,7 +122,7 @@
     pub(crate) fn run(self) -> anyhow::Result<()> {
         anyhow::ensure!(self.seeds > 0, "--seeds must be at least 1");
         println!(
-            "| deployment | plan | cost / on-demand | cost / clairvoyant | steps in target, % | requests in target, % | starts | refused | reclaimed |"
+            "| deployment | plan | cost / on-demand | cost / clairvoyant | steps in target, % | requests in target, % | slots paid | on demand, % | starts | refused | reclaimed |"
         );
         println!("|---|---|---|---|---|---|---|---|---|---|---|");
         for deployment in &DEPLOYMENTS {
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measurements of the decisions, without sockets and under a virtual clock.
 
 mod baseline;
+mod capacity_plan;
 mod choice_study;
 mod deadline_study;
 mod fairness_study;
@@ -14,7 +15,6 @@
 mod trace;
 mod workload;
 mod world;
-mod capacity_plan;
 
 use argh::FromArgs;
 
