Leave room at endpoints for organisations below their share

Change: an organisation served more than 1.25 times an equal share over the last ten seconds, by all nodes, may fill an endpoint only to 0.75 of its limit, and the queue looks past it for one that isn't heavy. `fairness::fronts` and `pop_of` take the place of `front`. Limits start at 24 and don't fall below 8.

--- a/bench/src/baseline.rs
+++ b/bench/src/baseline.rs
@@ -117,8 +117,10 @@
     for known in router.endpoints() {
         let id = known.listing.endpoint;
         let load = router.load(now, id).requests;
+        let open_share =
+            if ask.leaves_room { routing::Settings::default().open_share } else { 1.0 };
         let is_live = known.state(now) == endpoint::State::Live;
-        if is_live && load < known.limit_requests() && !ask.exclude.contains(&id) {
+        if is_live && load < known.limit_requests() * open_share && !ask.exclude.contains(&id) {
             open.push((id, load));
         }
     }
--- a/bench/src/policies.rs
+++ b/bench/src/policies.rs
@@ -1,6 +1,7 @@
 //! `bench policies`: each decision against its baselines on the same traces.
 
 use std::path::PathBuf;
+use std::thread;
 
 use argh::FromArgs;
 
@@ -28,6 +29,9 @@
     only: Option<String>,
 }
 
+/// Replays that run at a time.
+const THREADS: usize = 3;
+
 /// Length and seeds of the traces.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Extent {
@@ -36,9 +40,20 @@
 }
 
 impl Extent {
-    /// Measures something on the trace of each seed.
-    pub(crate) fn each<T>(self, measure: impl FnMut(u64) -> T) -> Vec<T> {
-        (1..=self.seeds).map(measure).collect()
+    /// Measures something on the trace of each seed, some at a time.
+    pub(crate) fn each<T: Send>(self, measure: impl Fn(u64) -> T + Sync) -> Vec<T> {
+        let seeds: Vec<u64> = (1..=self.seeds).collect();
+        let measure = &measure;
+        let mut measured = Vec::new();
+        for some in seeds.chunks(THREADS) {
+            thread::scope(|scope| {
+                let threads = some.iter().map(|seed| scope.spawn(move || measure(*seed)));
+                let threads: Vec<_> = threads.collect();
+                let results = threads.into_iter().map(|thread| thread.join());
+                measured.extend(results.map(|result| result.expect("a replay runs to its end")));
+            });
+        }
+        measured
     }
 }
 
--- a/rhubarbrock/src/choice.rs
+++ b/rhubarbrock/src/choice.rs
@@ -162,6 +162,7 @@
     compared.extend(&homes.packed);
     compared.sort_unstable();
     compared.dedup();
+    let open_share = if ask.leaves_room { router.settings.open_share } else { 1.0 };
     for id in &compared {
         let known = &router.view.endpoints[id];
         tally.live += 1;
@@ -176,7 +177,7 @@
         let candidate = Candidate {
             endpoint: *id,
             load: known.load(now, router.settings.load_trusted),
-            limit: known.limit.requests(),
+            limit: known.limit.requests() * open_share,
             matched_tokens: matched_tokens(matches, *id),
             is_home: homes.dialogue == Some(*id),
             rank: homes.rank(*id),
--- a/rhubarbrock/src/dispatch.rs
+++ b/rhubarbrock/src/dispatch.rs
@@ -191,6 +191,7 @@
     /// The same with another choice of endpoints, to compare with.
     pub fn poll_with(&mut self, now: Duration, choose: &mut Choose<'_>) -> Vec<Step> {
         let mut steps = Vec::new();
+        self.fairness.on_time(now);
         self.refuse_late(now, &mut steps);
         let services: Vec<String> = self.router.services().map(str::to_owned).collect();
         for service in services {
@@ -243,7 +244,7 @@
             let Some(ticket) = retries.pop_front() else {
                 return;
             };
-            let choice = choose(&self.router, now, &ask(&self.entries[&ticket]));
+            let choice = choose(&self.router, now, &ask(&self.entries[&ticket], false));
             match choice {
                 Ok(choice) => steps.push(self.send(now, ticket, choice)),
                 Err(_) => self.retries.entry(service.to_owned()).or_default().push_back(ticket),
@@ -252,21 +253,51 @@
     }
 
     fn next_step(&mut self, now: Duration, service: &str, choose: &mut Choose<'_>) -> Option<Step> {
-        let ticket = self.fairness.front(service)?.ticket;
+        let fronts = self.fairness.fronts(service);
+        let fronts: Vec<_> = fronts.iter().map(|(name, w)| (name.to_string(), w.ticket)).collect();
+        for (organisation, ticket) in fronts {
+            if let Err(refusal) = self.recheck(now, service, ticket) {
+                return Some(self.refuse(ticket, refusal));
+            }
+            let is_heavy = self.fairness.is_heavy(service, &organisation);
+            let ask = ask(&self.entries[&ticket], is_heavy);
+            match choose(&self.router, now, &ask) {
+                Ok(choice) => return Some(self.take_turn(now, &organisation, ticket, choice)),
+                // Room that a heavy organisation must leave may still do for the others.
+                Err(_) if is_heavy => {}
+                Err(_) => return None,
+            }
+        }
+        None
+    }
+
+    fn recheck(
+        &self,
+        now: Duration,
+        service: &str,
+        ticket: fairness::Ticket,
+    ) -> Result<(), admission::Refusal> {
         let entry = &self.entries[&ticket];
-        let rates = self.router.rates(service);
         let uncached_tokens = self.uncached_tokens(&entry.job);
-        let rechecked = self.admission.recheck(now, entry.deadline, uncached_tokens, &rates);
-        if let Err(refusal) = rechecked {
-            return Some(self.refuse(ticket, refusal));
-        }
-        let choice = choose(&self.router, now, &ask(&self.entries[&ticket])).ok()?;
-        self.fairness.pop(service);
+        let rates = self.router.rates(service);
+        self.admission.recheck(now, entry.deadline, uncached_tokens, &rates)
+    }
+
+    fn take_turn(
+        &mut self,
+        now: Duration,
+        organisation: &str,
+        ticket: fairness::Ticket,
+        choice: routing::Choice,
+    ) -> Step {
         let entry = self.entries[&ticket].clone();
+        let service = entry.job.service.as_str();
+        let taken = self.fairness.pop_of(service, organisation);
+        assert!(taken.is_some_and(|taken| taken.ticket == ticket), "the front is taken");
         self.forget_deadline(&entry);
         let waited = now.saturating_sub(entry.arrived_at);
         self.admission.on_turn(service, entry.expected_wait, waited);
-        Some(self.send(now, ticket, choice))
+        self.send(now, ticket, choice)
     }
 
     fn send(&mut self, now: Duration, ticket: fairness::Ticket, choice: routing::Choice) -> Step {
@@ -277,7 +308,7 @@
         entry.attempt = Some(attempt);
         let waited = now.saturating_sub(entry.arrived_at);
         self.attempts.insert(attempt, ticket);
-        self.router.on_sent(now, attempt, choice.endpoint, &ask(&self.entries[&ticket]));
+        self.router.on_sent(now, attempt, choice.endpoint, &ask(&self.entries[&ticket], false));
         Step::Send { ticket, attempt, choice, waited }
     }
 
@@ -388,7 +419,7 @@
     }
 }
 
-fn ask(entry: &Entry) -> routing::Ask<'_> {
+fn ask(entry: &Entry, leaves_room: bool) -> routing::Ask<'_> {
     routing::Ask {
         service: &entry.job.service,
         blocks: &entry.job.blocks,
@@ -396,6 +427,7 @@
         dialogue: entry.job.dialogue,
         settled_tokens: entry.job.settled_tokens,
         may_probe: entry.job.may_probe,
+        leaves_room,
         exclude: &entry.exclude,
     }
 }
--- a/rhubarbrock/src/fairness.rs
+++ b/rhubarbrock/src/fairness.rs
@@ -6,6 +6,7 @@
 //! save up idle time. Tokens served by other nodes count as well.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
 use crate::id;
 
@@ -47,8 +48,29 @@
     served_tokens: f64,
     waiting: VecDeque<(u64, Waiting)>,
     running: usize,
+    /// Weighted tokens of all nodes since the last turn of [`Fairness::on_time`].
+    recent: f64,
+    /// The same over the last [`RATE_SPAN_S`] seconds or so.
+    rate: f64,
 }
 
+impl Account {
+    fn add(&mut self, tokens: f64) {
+        self.counter += tokens;
+        self.served_tokens += tokens;
+        self.recent += tokens;
+    }
+}
+
+/// Time over which an organisation's rate is taken, in seconds.
+const RATE_SPAN_S: f64 = 10.0;
+
+/// Share of all tokens below which an organisation doesn't count as active.
+const MIN_ACTIVE_SHARE: f64 = 0.01;
+
+/// Multiple of an equal share from which an organisation is heavy.
+const HEAVY: f64 = 1.25;
+
 #[derive(Debug, Clone, Default)]
 struct Service {
     accounts: BTreeMap<String, Account>,
@@ -63,20 +85,24 @@
         waiting.map(|account| account.counter).min_by(f64::total_cmp).unwrap_or(self.level)
     }
 
-    fn next(&self) -> Option<(&str, Waiting)> {
-        let mut next: Option<(f64, u64, &str, Waiting)> = None;
+    /// The first request of each organisation that waits, in order of their turns.
+    fn fronts(&self) -> Vec<(&str, Waiting)> {
+        let mut fronts = Vec::new();
         for (name, account) in &self.accounts {
-            let Some((arrival, waiting)) = account.waiting.front() else {
-                continue;
-            };
-            let is_before = next.as_ref().is_none_or(|(counter, before, _, _)| {
-                account.counter.total_cmp(counter).then(arrival.cmp(before)).is_lt()
-            });
-            if is_before {
-                next = Some((account.counter, *arrival, name, *waiting));
+            if let Some((arrival, waiting)) = account.waiting.front() {
+                fronts.push((account.counter, *arrival, name.as_str(), *waiting));
             }
         }
-        next.map(|(_, _, name, waiting)| (name, waiting))
+        fronts.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        fronts.into_iter().map(|(_, _, name, waiting)| (name, waiting)).collect()
+    }
+
+    /// Rate above which an organisation is heavy.
+    fn heavy_rate(&self) -> f64 {
+        let total: f64 = self.accounts.values().map(|account| account.rate).sum();
+        let is_active = |account: &&Account| account.rate > total * MIN_ACTIVE_SHARE;
+        let active = self.accounts.values().filter(is_active).count();
+        total / active.max(1) as f64 * HEAVY
     }
 }
 
@@ -108,6 +134,7 @@
     running: BTreeMap<Ticket, Running>,
     remote: BTreeMap<id::NodeId, BTreeMap<(String, String), u64>>,
     arrivals: u64,
+    turned_at: Duration,
 }
 
 impl Fairness {
@@ -129,28 +156,54 @@
         account.waiting.push_back((self.arrivals, waiting));
     }
 
-    /// The request that is next, without taking it.
-    pub fn front(&self, service: &str) -> Option<Waiting> {
-        let (_, waiting) = self.services.get(service)?.next()?;
-        Some(waiting)
+    /// Lets a second or so pass; rates are taken over whole turns of it.
+    pub fn on_time(&mut self, now: Duration) {
+        let passed_s = now.saturating_sub(self.turned_at).as_secs_f64();
+        if passed_s < 1.0 {
+            return;
+        }
+        self.turned_at = now;
+        let kept = f64::exp(-passed_s / RATE_SPAN_S);
+        let accounts = self.services.values_mut().flat_map(|service| service.accounts.values_mut());
+        for account in accounts {
+            account.rate = account.rate * kept + account.recent;
+            account.recent = 0.0;
+        }
+    }
+
+    /// Whether an organisation was served more than its share lately, over all nodes.
+    pub fn is_heavy(&self, service: &str, organisation: &str) -> bool {
+        let Some(service) = self.services.get(service) else {
+            return false;
+        };
+        let account = service.accounts.get(organisation);
+        account.is_some_and(|account| account.rate > service.heavy_rate())
+    }
+
+    /// The first request of each organisation that waits, in order of their turns.
+    pub fn fronts(&self, service: &str) -> Vec<(&str, Waiting)> {
+        self.services.get(service).map_or(Vec::new(), Service::fronts)
     }
 
     /// Takes the request that is next and charges its organisation what it is expected to use.
     pub fn pop(&mut self, service: &str) -> Option<Waiting> {
+        let organisation = self.fronts(service).first()?.0.to_owned();
+        self.pop_of(service, &organisation)
+    }
+
+    /// Takes the first request of an organisation and charges it what it is expected to use.
+    pub fn pop_of(&mut self, service: &str, organisation: &str) -> Option<Waiting> {
         let queues = self.services.get_mut(service)?;
-        let (organisation, waiting) = queues.next()?;
-        let organisation = organisation.to_owned();
-        let account = entry(&mut queues.accounts, &organisation);
-        account.waiting.pop_front();
+        let account = queues.accounts.get_mut(organisation)?;
+        let (_, waiting) = account.waiting.pop_front()?;
         account.running += 1;
         queues.level = queues.level.max(account.counter);
         let tokens = f64::from(waiting.prompt_tokens) * self.settings.prompt_weight
             + f64::from(waiting.answer_tokens) * self.settings.answer_weight;
-        account.counter += tokens;
-        account.served_tokens += tokens;
+        account.add(tokens);
         let running = Running {
             service: service.to_owned(),
-            organisation,
+            organisation: organisation.to_owned(),
             charged_answer_tokens: waiting.answer_tokens,
             answer_tokens: 0,
         };
@@ -185,9 +238,7 @@
 
     fn add(&mut self, service: &str, organisation: &str, tokens: f64) {
         let service = entry(&mut self.services, service);
-        let account = entry(&mut service.accounts, organisation);
-        account.counter += tokens;
-        account.served_tokens += tokens;
+        entry(&mut service.accounts, organisation).add(tokens);
     }
 
     /// Takes a waiting request out, such as when its caller left; returns whether it waited.
@@ -217,6 +268,7 @@
             let service = entry(&mut self.services, &usage.service);
             let highest = service.floor() + self.settings.max_debt_tokens;
             let account = entry(&mut service.accounts, &usage.organisation);
+            account.recent += more as f64;
             let raised = (account.counter + more as f64).min(highest);
             account.counter = account.counter.max(raised);
         }
--- a/rhubarbrock/src/limit.rs
+++ b/rhubarbrock/src/limit.rs
@@ -24,8 +24,8 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            first_requests: 16.0,
-            min_requests: 2.0,
+            first_requests: 24.0,
+            min_requests: 8.0,
             max_requests: 256.0,
             interval_target: Duration::from_millis(32),
             step_pause: Duration::from_millis(500),
@@ -40,7 +40,7 @@
 const STEP_UP_REQUESTS: f64 = 0.25;
 
 /// Share of the limit that must be in use for it to grow.
-const IN_USE: f64 = 0.7;
+const IN_USE: f64 = 0.5;
 
 /// Learnt limit of concurrent requests.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/rhubarbrock/src/routing.rs
+++ b/rhubarbrock/src/routing.rs
@@ -33,6 +33,8 @@
     pub follows_home: bool,
     /// Share of a dialogue's earlier turns expected in its home's cache, 0 to 1.
     pub home_trust: f64,
+    /// Share of an endpoint's limit open to those that must leave room for others.
+    pub open_share: f64,
     /// What computing a prompt token counts besides the wait for it, as it slows other requests.
     pub prefill_weight: f64,
     /// Cost of one more request beside those running at an endpoint.
@@ -71,6 +73,7 @@
             rank_cost: Duration::from_micros(1500),
             follows_home: true,
             home_trust: 0.8,
+            open_share: 0.75,
             prefill_weight: 4.0,
             request_cost: Duration::from_micros(1500),
             cost_price_cost: Duration::from_millis(20),
@@ -152,6 +155,8 @@
     pub settled_tokens: u32,
     /// Whether the request may try an endpoint whose ejection has just ended.
     pub may_probe: bool,
+    /// Whether the last part of each endpoint's limit is left to others.
+    pub leaves_room: bool,
     /// Endpoints that must not be chosen.
     pub exclude: &'a [id::EndpointId],
 }
--- a/rhubarbrock/tests/admission.rs
+++ b/rhubarbrock/tests/admission.rs
@@ -211,3 +211,22 @@
     let refusal = dispatcher.submit(now, job(2000, "large", None)).unwrap_err();
     assert_eq!(refusal.why, admission::Refused::QueueFull);
 }
+
+#[test]
+fn a_heavy_organisation_leaves_room_for_others() {
+    let mut dispatcher = dispatcher(1, 10.0, 1000);
+    let mut now = Duration::from_secs(1);
+    dispatcher.submit(now, job(1000, "small", None)).unwrap();
+    for ticket in 0..100 {
+        dispatcher.submit(now, job(ticket, "large", None)).unwrap();
+    }
+    assert_eq!(dispatcher.poll(now).len(), 10, "before anybody is heavy all room is used");
+    now += Duration::from_secs(1);
+    dispatcher.poll(now);
+    for attempt in 1..=10 {
+        dispatcher.on_done(now, attempt, &routing::Answered { answer_tokens: 50 });
+    }
+    assert_eq!(dispatcher.poll(now).len(), 8, "the heavy one may fill 0.75 of the limit");
+    dispatcher.submit(now, job(1001, "small", None)).unwrap();
+    assert_eq!(dispatcher.poll(now).len(), 1, "the small one finds room at once");
+}
--- a/rhubarbrock/tests/fairness.rs
+++ b/rhubarbrock/tests/fairness.rs
@@ -173,3 +173,29 @@
     let usage = queue.usages();
     assert_eq!((usage.len(), usage[0].served_tokens), (1, 380));
 }
+
+#[test]
+fn an_organisation_above_its_share_is_heavy() {
+    let second = std::time::Duration::from_secs(1);
+    let mut queue = fairness::Fairness::new(fairness::Settings::default());
+    for ticket in 0..100 {
+        let (name, tokens) = if ticket % 10 < 7 { ("large", 100) } else { ("small", 100) };
+        queue.push(SERVICE, name, waiting(ticket, tokens, 0));
+    }
+    while queue.pop(SERVICE).is_some() {}
+    assert!(!queue.is_heavy(SERVICE, "large"), "before any time has passed nothing is known");
+    queue.on_time(second);
+    assert!(queue.is_heavy(SERVICE, "large"), "70 of 100 requests");
+    assert!(!queue.is_heavy(SERVICE, "small"), "30 of 100 requests");
+    queue.push(SERVICE, "third", waiting(100, 100, 0));
+    queue.on_remote_usage(2, &[]);
+    let usage = |name: &str, served_tokens| fairness::Usage {
+        service: SERVICE.to_owned(),
+        organisation: name.to_owned(),
+        served_tokens,
+    };
+    queue.on_remote_usage(2, &[usage("small", 20_000)]);
+    queue.on_time(2 * second);
+    assert!(queue.is_heavy(SERVICE, "small"), "what other nodes served counts");
+    assert!(!queue.is_heavy(SERVICE, "large"), "now below half of all");
+}
--- a/rhubarbrock/tests/routing.rs
+++ b/rhubarbrock/tests/routing.rs
@@ -217,6 +217,7 @@
         dialogue: u64::from(dialogue) + 1,
         settled_tokens: 0,
         may_probe: true,
+        leaves_room: false,
         exclude: &exclude,
     };
     let Ok(choice) = router.choose(model.now, &ask) else {
