Split the world of whole nodes and add it to the soak

One file held the world's loop, its fake platform and its callers. They are three files now, and the soak runs the world over many seeds. Behaviour is unchanged.

--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -6,7 +6,7 @@
 use argh::FromArgs;
 use proofs::Violation;
 use proofs::claim_world::{self, Options};
-use proofs::poison_world;
+use proofs::{node_world, poison_world};
 
 /// Runs the randomised worlds over many seeds and stops at the first broken invariant.
 #[derive(FromArgs)]
@@ -27,7 +27,7 @@
     /// how often things fail in the world of claims: 100 for a storm
     #[argh(option, default = "100")]
     fault_percent: u32,
-    /// world: claims or poison; both if not said
+    /// world: claims, poison or nodes; all if not said
     #[argh(option)]
     world: Option<String>,
 }
@@ -38,9 +38,11 @@
         match self.world.as_deref() {
             Some("claims") => self.claims(),
             Some("poison") => self.poison(),
+            Some("nodes") => self.nodes(),
             None => {
                 self.claims()?;
-                self.poison()
+                self.poison()?;
+                self.nodes()
             }
             Some(other) => bail!("--world: there is no world called {other}"),
         }
@@ -82,6 +84,33 @@
         Ok(())
     }
 
+    fn nodes(&self) -> anyhow::Result<()> {
+        let run = |seed| node_world::run(seed, node_world::Options::stormy(seed));
+        let reports = self.spread(run)?;
+        let mut total = node_world::Report::default();
+        for report in &reports {
+            total.add(report);
+        }
+        println!("nodes: {} seeds, {} events, 0 violations", self.seeds, total.events);
+        println!("  faults {}, requests adopted {}", total.faults, total.adopted);
+        println!(
+            "  requests {}, accepted {}, answered in full {}, longest {} ms",
+            total.asked,
+            total.accepted,
+            total.answered,
+            total.longest.as_millis()
+        );
+        println!(
+            "  orders {}, answered {}, not run {}, in doubt {}",
+            total.orders, total.orders_answered, total.orders_not_run, total.orders_in_doubt
+        );
+        println!(
+            "  tokens generated {}, of complete answers {}",
+            total.generated_tokens, total.answer_tokens
+        );
+        Ok(())
+    }
+
     /// Runs every seed, spread over the threads.
     fn spread<T: Send>(
         &self,
--- a/proofs/src/lib.rs
+++ b/proofs/src/lib.rs
@@ -15,7 +15,9 @@
 pub mod node_world;
 pub mod poison_world;
 
+mod node_callers;
 mod node_faults;
+mod node_io;
 mod node_setup;
 
 use derive_more::{Display, Error};
--- /dev/null
+++ b/proofs/src/node_callers.rs
@@ -0,0 +1,284 @@
+//! A world of whole nodes: what its callers ask, are told and read.
+
+use std::time::Duration;
+
+use rand::Rng;
+use rhubarbrock::{action, event, id};
+
+use crate::fake_callers::{CallerId, Stage, Wish};
+use crate::fake_engine;
+use crate::node_world::{Asker, Due, READ_INTERVAL, World};
+use crate::{Violation, node_setup};
+
+impl World {
+    /// A caller asks some node that says that it is ready.
+    pub(crate) fn new_caller(&mut self) -> Result<(), Violation> {
+        if !self.storm_over {
+            let wait = Duration::from_millis(self.rng.random_range(50..600));
+            self.after(wait, Due::NewCaller);
+        }
+        let Some(slot) = self.ready_slot() else { return Ok(()) };
+        let process = self.slots[slot].process;
+        let is_order = self.rng.random_range(0..4) == 0;
+        let number = self.callers.by_id.len();
+        let wish = if is_order {
+            Wish::Order { key: format!("key-{number}") }
+        } else {
+            let body = node_setup::body(number);
+            Wish::Model { body, tokens: self.rng.random_range(1..250) }
+        };
+        let caller = self.callers.add(self.now, wish.clone(), slot, process);
+        let secret = self.rng.random();
+        let call = self.new_call(slot, process, caller);
+        let event = match wish {
+            Wish::Model { body, tokens } => {
+                self.report.asked += 1;
+                node_setup::model_call(call, body, tokens, secret)
+            }
+            Wish::Order { key } => {
+                self.report.orders += 1;
+                node_setup::order_call(call, key, secret)
+            }
+        };
+        self.deliver(slot, process, event::Event::Caller(event))
+    }
+
+    pub(crate) fn ready_slot(&mut self) -> Option<usize> {
+        let ready: Vec<usize> =
+            (0..self.slots.len()).filter(|slot| self.slots[*slot].is_ready()).collect();
+        if ready.is_empty() {
+            return None;
+        }
+        Some(ready[self.rng.random_range(0..ready.len())])
+    }
+
+    pub(crate) fn new_call(
+        &mut self,
+        slot: usize,
+        process: u64,
+        caller: CallerId,
+    ) -> event::CallId {
+        let call = self.next_call;
+        self.next_call += 1;
+        self.calls.insert((slot, process, call), caller);
+        call
+    }
+
+    pub(crate) fn caller_of(
+        &mut self,
+        slot: usize,
+        process: u64,
+        call: event::CallId,
+    ) -> Option<CallerId> {
+        self.calls.remove(&(slot, process, call))
+    }
+
+    pub(crate) fn refused(
+        &mut self,
+        slot: usize,
+        process: u64,
+        call: event::CallId,
+        refusal: action::Refusal,
+    ) -> Result<(), Violation> {
+        let Some(id) = self.caller_of(slot, process, call) else { return Ok(()) };
+        let now = self.now;
+        let caller = self.callers.by_id.get_mut(&id).expect("the caller asked");
+        if caller.request.is_some() {
+            // Looked for its answer and was refused; asks again.
+            caller.stage = Stage::Searching { at: now };
+            self.after(Duration::from_millis(400), Due::Read { caller: id });
+            return Ok(());
+        }
+        caller.stage = Stage::Done;
+        let outcome = refusal.outcome;
+        caller.refusal = Some(refusal);
+        if let Wish::Order { key } = caller.wish.clone() {
+            match outcome {
+                action::Outcome::NotRun => self.report.orders_not_run += 1,
+                _ => self.report.orders_in_doubt += 1,
+            }
+            let runs = self.runs.get(&key).copied().unwrap_or(0);
+            if outcome == action::Outcome::NotRun && runs > 0 {
+                return Err(self.violation(format!("order {key} ran and was told not run")));
+            }
+        }
+        Ok(())
+    }
+
+    pub(crate) fn order_answered(&mut self, slot: usize, process: u64, call: event::CallId) {
+        let Some(id) = self.caller_of(slot, process, call) else { return };
+        let caller = self.callers.by_id.get_mut(&id).expect("the caller asked");
+        caller.is_answered = true;
+        caller.stage = Stage::Done;
+        self.report.orders_answered += 1;
+    }
+
+    pub(crate) fn attached(
+        &mut self,
+        slot: usize,
+        process: u64,
+        call: event::CallId,
+        request: id::RequestId,
+    ) {
+        let Some(id) = self.caller_of(slot, process, call) else { return };
+        let caller = self.callers.by_id.get_mut(&id).expect("the caller asked");
+        if caller.request.is_none() {
+            self.report.accepted += 1;
+        }
+        caller.request = Some(request);
+        caller.stage = Stage::Reading { slot, process };
+        self.after(READ_INTERVAL, Due::Read { caller: id });
+    }
+
+    pub(crate) fn relayed(
+        &mut self,
+        slot: usize,
+        process: u64,
+        call: event::CallId,
+        request: id::RequestId,
+        nodes: Vec<action::PeerAddress>,
+    ) {
+        let Some(id) = self.caller_of(slot, process, call) else { return };
+        self.ask_next(id, request, nodes);
+    }
+
+    /// Asks the next node that may hold a request, on the caller's behalf.
+    pub(crate) fn ask_next(
+        &mut self,
+        caller: CallerId,
+        request: id::RequestId,
+        mut nodes: Vec<action::PeerAddress>,
+    ) {
+        if nodes.is_empty() {
+            self.after(Duration::from_millis(400), Due::Read { caller });
+            return;
+        }
+        let to = nodes.remove(0);
+        let offset = self.callers.by_id[&caller].text.len();
+        let call = rhubarbrock_schema::peer::FindCall {
+            request: request.to_string(),
+            organisation: node_setup::ORGANISATION.to_owned(),
+            offset: offset as u64,
+            wait_ms: 0,
+        };
+        let asker = Asker::Reader { caller, offset, rest: nodes };
+        self.call(asker, to.address, |rpc| event::PeerEvent::Find { rpc, call });
+    }
+
+    pub(crate) fn found(
+        &mut self,
+        caller: CallerId,
+        offset: usize,
+        rest: Vec<action::PeerAddress>,
+        reply: Option<event::Reply>,
+    ) -> Result<(), Violation> {
+        let Some(request) = self.callers.by_id[&caller].request else { return Ok(()) };
+        let found = match reply {
+            Some(event::Reply::Find(found)) => found,
+            _ => {
+                self.ask_next(caller, request, rest);
+                return Ok(());
+            }
+        };
+        let has_news = !found.text.is_empty() || found.finish.is_some();
+        if !has_news {
+            self.ask_next(caller, request, rest);
+            return Ok(());
+        }
+        let finish = found.finish.clone();
+        self.take_text(caller, offset, &found.text, finish.as_ref())?;
+        if finish.is_none() {
+            self.after(READ_INTERVAL, Due::Read { caller });
+        }
+        Ok(())
+    }
+
+    /// A caller looks for more of its answer.
+    pub(crate) fn read_answer(&mut self, id: CallerId) -> Result<(), Violation> {
+        let caller = &self.callers.by_id[&id];
+        let Some(request) = caller.request else { return Ok(()) };
+        match caller.stage {
+            Stage::Done | Stage::Asking { .. } => Ok(()),
+            Stage::Reading { slot, process } => {
+                let offset = caller.text.len();
+                match self.slots[slot].read(process, request, offset) {
+                    Some(part) => {
+                        self.take_text(id, offset, &part.text, part.finish.as_ref())?;
+                        if part.finish.is_none() {
+                            self.after(READ_INTERVAL, Due::Read { caller: id });
+                        }
+                    }
+                    None => {
+                        let now = self.now;
+                        let caller = self.callers.by_id.get_mut(&id).expect("it reads");
+                        caller.stage = Stage::Searching { at: now };
+                        self.after(READ_INTERVAL, Due::Read { caller: id });
+                    }
+                }
+                Ok(())
+            }
+            Stage::Searching { .. } => self.search(id, request),
+        }
+    }
+
+    pub(crate) fn search(
+        &mut self,
+        caller: CallerId,
+        request: id::RequestId,
+    ) -> Result<(), Violation> {
+        let Some(slot) = self.ready_slot() else {
+            self.after(Duration::from_millis(400), Due::Read { caller });
+            return Ok(());
+        };
+        let process = self.slots[slot].process;
+        let offset = self.callers.by_id[&caller].text.len() as u64;
+        let call = self.new_call(slot, process, caller);
+        let find = event::FindCall { call, key_sha256: node_setup::key_sha256(), request, offset };
+        let event = event::Event::Caller(event::CallerEvent::Find(find));
+        self.deliver(slot, process, event)?;
+        // A node that dies with the question never answers it.
+        self.after(Duration::from_secs(3), Due::Read { caller });
+        Ok(())
+    }
+
+    pub(crate) fn take_text(
+        &mut self,
+        id: CallerId,
+        offset: usize,
+        text: &str,
+        finish: Option<&rhubarbrock_schema::peer::Finish>,
+    ) -> Result<(), Violation> {
+        let now = self.now;
+        let caller = self.callers.by_id.get_mut(&id).expect("it reads");
+        if caller.stage == Stage::Done {
+            return Ok(());
+        }
+        let Wish::Model { body, tokens } = &caller.wish else { return Ok(()) };
+        let whole = fake_engine::answer(body, *tokens);
+        let tokens = *tokens;
+        let is_own = whole.get(offset..).is_some_and(|rest| rest.starts_with(text));
+        // A caller that asked twice gets some text twice, each time at the offset it asked for.
+        if let Some(new) = text.get(caller.text.len() - offset..) {
+            caller.text.push_str(new);
+        }
+        if !is_own || !whole.starts_with(&caller.text) {
+            let what = format!("caller {id} reads text that is not its own, or not in order");
+            return Err(self.violation(what));
+        }
+        let Some(finish) = finish else { return Ok(()) };
+        if !finish.error.is_empty() {
+            let what = format!("caller {id}'s accepted request failed: {}", finish.error);
+            return Err(self.violation(what));
+        }
+        if caller.text != whole {
+            return Err(self.violation(format!("caller {id}'s answer ends early")));
+        }
+        caller.stage = Stage::Done;
+        caller.done_at = Some(now);
+        let took = now - caller.asked_at;
+        self.report.answered += 1;
+        self.report.answer_tokens += u64::from(tokens);
+        self.report.longest = self.report.longest.max(took);
+        Ok(())
+    }
+}
--- a/proofs/src/node_world.rs
+++ b/proofs/src/node_world.rs
@@ -14,16 +14,15 @@
 //! answered in full.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rhubarbrock::{action, event, id, node};
 
-use crate::fake_callers::{CallerId, Callers, Stage, Wish};
-use crate::fake_engine::{self, Engine};
-use crate::fake_node::{Slot, address};
+use crate::fake_callers::{CallerId, Callers, Stage};
+use crate::fake_engine::Engine;
+use crate::fake_node::Slot;
 use crate::fake_topics::Topics;
 use crate::{Violation, node_faults, node_setup};
 
@@ -34,21 +33,10 @@
 const TICK: Duration = Duration::from_millis(25);
 
 /// Time between a caller's looks at its answer.
-const READ_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Time between a node's readings of the log, load and list.
-const LOG_INTERVAL: Duration = Duration::from_millis(40);
-const LOAD_INTERVAL: Duration = Duration::from_millis(1_000);
-const LIST_INTERVAL: Duration = Duration::from_millis(1_000);
-
-/// Lag of the list.
-const LIST_LAG: Duration = Duration::from_secs(4);
-
-/// Time after which a call between nodes counts as failed.
-const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const READ_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Time of the wall clock at the start.
-const WALL: Duration = Duration::from_secs(1_700_000_000);
+pub(crate) const WALL: Duration = Duration::from_secs(1_700_000_000);
 
 /// What a world lets happen.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -147,7 +135,7 @@
 
 /// Who waits for the answer to a call between nodes.
 #[derive(Debug, Clone)]
-enum Asker {
+pub(crate) enum Asker {
     Store { slot: usize, process: u64, number: u64 },
     Progress { slot: usize, process: u64, to: id::NodeId, number: u64 },
     Release { slot: usize, process: u64 },
@@ -167,15 +155,15 @@
     pub(crate) topics: Topics,
     pub(crate) list_down_until: Duration,
     pub(crate) callers: Callers,
-    runs: BTreeMap<String, u32>,
-    rpcs: BTreeMap<event::RpcId, Asker>,
-    next_rpc: event::RpcId,
-    calls: BTreeMap<(usize, u64, event::CallId), CallerId>,
-    next_call: event::CallId,
+    pub(crate) runs: BTreeMap<String, u32>,
+    pub(crate) rpcs: BTreeMap<event::RpcId, Asker>,
+    pub(crate) next_rpc: event::RpcId,
+    pub(crate) calls: BTreeMap<(usize, u64, event::CallId), CallerId>,
+    pub(crate) next_call: event::CallId,
     pub(crate) next_instance: id::InstanceId,
     pub(crate) storm_over: bool,
     pub(crate) quiet_until: Duration,
-    report: Report,
+    pub(crate) report: Report,
 }
 
 /// Runs one world to its end.
@@ -185,8 +173,27 @@
     Ok(world.report)
 }
 
+impl Report {
+    /// Adds the counts of another run.
+    pub fn add(&mut self, other: &Report) {
+        self.events += other.events;
+        self.asked += other.asked;
+        self.accepted += other.accepted;
+        self.answered += other.answered;
+        self.orders += other.orders;
+        self.orders_answered += other.orders_answered;
+        self.orders_not_run += other.orders_not_run;
+        self.orders_in_doubt += other.orders_in_doubt;
+        self.adopted += other.adopted;
+        self.faults += other.faults;
+        self.generated_tokens += other.generated_tokens;
+        self.answer_tokens += other.answer_tokens;
+        self.longest = self.longest.max(other.longest);
+    }
+}
+
 impl World {
-    fn new(seed: u64, options: Options) -> World {
+    pub(crate) fn new(seed: u64, options: Options) -> World {
         let mut world = World {
             seed,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -213,7 +220,7 @@
         world
     }
 
-    fn set_up(&mut self) {
+    pub(crate) fn set_up(&mut self) {
         for index in 0..self.options.engines {
             let endpoint = self.new_instance();
             self.engines.insert(endpoint, Engine::new(endpoint, index % 3));
@@ -251,7 +258,7 @@
         self.at(self.now + wait, due);
     }
 
-    fn run(&mut self) -> Result<(), Violation> {
+    pub(crate) fn run(&mut self) -> Result<(), Violation> {
         let calm = Duration::from_secs(90);
         let end = self.options.storm + calm;
         while let Some(((when, _), due)) = self.queue.pop_first() {
@@ -265,7 +272,7 @@
         self.check_end()
     }
 
-    fn step(&mut self, due: Due) -> Result<(), Violation> {
+    pub(crate) fn step(&mut self, due: Due) -> Result<(), Violation> {
         match due {
             Due::Tick { slot, process } => self.tick(slot, process),
             Due::ReadLog { slot, process } => self.read_log(slot, process),
@@ -304,7 +311,7 @@
         self.report.faults += 1;
     }
 
-    fn start(&mut self, slot: usize) -> Result<(), Violation> {
+    pub(crate) fn start(&mut self, slot: usize) -> Result<(), Violation> {
         let instance = self.new_instance();
         let config = node_setup::config(slot, instance, self.rng.random(), WALL + self.now);
         let process = config.node;
@@ -338,7 +345,12 @@
     }
 
     /// Gives an event to a node, or keeps it while the node is paused.
-    fn deliver(&mut self, slot: usize, process: u64, event: event::Event) -> Result<(), Violation> {
+    pub(crate) fn deliver(
+        &mut self,
+        slot: usize,
+        process: u64,
+        event: event::Event,
+    ) -> Result<(), Violation> {
         let now = self.now;
         let Some(actions) = self.slots[slot].handle(process, now, WALL + now, event) else {
             return Ok(());
@@ -347,7 +359,7 @@
         self.perform(slot, process, actions)
     }
 
-    fn tick(&mut self, slot: usize, process: u64) -> Result<(), Violation> {
+    pub(crate) fn tick(&mut self, slot: usize, process: u64) -> Result<(), Violation> {
         let now = self.now;
         if !self.slots[slot].is_process(process) {
             return Ok(());
@@ -360,692 +372,21 @@
         self.perform(slot, process, actions)
     }
 
-    fn check_release(&mut self, slot: usize) -> Result<(), Violation> {
+    pub(crate) fn check_release(&mut self, slot: usize) -> Result<(), Violation> {
         match self.slots[slot].see_release() {
             Ok(()) => Ok(()),
             Err(what) => Err(self.violation(what)),
         }
     }
 
-    fn resume(&mut self, slot: usize, process: u64) -> Result<(), Violation> {
+    pub(crate) fn resume(&mut self, slot: usize, process: u64) -> Result<(), Violation> {
         for event in self.slots[slot].unpause(process) {
             self.deliver(slot, process, event)?;
         }
         Ok(())
     }
 
-    fn read_log(&mut self, slot: usize, process: u64) -> Result<(), Violation> {
-        if !self.slots[slot].is_process(process) {
-            return Ok(());
-        }
-        self.after(LOG_INTERVAL, Due::ReadLog { slot, process });
-        if self.slots[slot].is_paused() {
-            return Ok(());
-        }
-        let is_up = self.topics.is_up(self.now);
-        for topic in [event::Topic::Release, event::Topic::Claims] {
-            let Some(from) = self.slots[slot].position(topic) else { continue };
-            let told = if is_up {
-                let page = self.topics.read(topic, from);
-                let is_first = !self.slots[slot].has_read(topic);
-                if page.records.is_empty() && !is_first && !self.slots[slot].was_down(topic) {
-                    continue;
-                }
-                self.slots[slot].set_position(topic, page.next);
-                event::PlatformEvent::Records(page)
-            } else {
-                if self.slots[slot].was_down(topic) {
-                    continue;
-                }
-                self.slots[slot].set_down(topic);
-                event::PlatformEvent::ReadFailed { topic }
-            };
-            self.deliver(slot, process, event::Event::Platform(told))?;
-        }
-        Ok(())
-    }
-
-    fn read_load(&mut self, slot: usize, process: u64) -> Result<(), Violation> {
-        if !self.slots[slot].is_process(process) {
-            return Ok(());
-        }
-        self.after(LOAD_INTERVAL, Due::ReadLoad { slot, process });
-        if self.slots[slot].is_paused() {
-            return Ok(());
-        }
-        for endpoint in self.slots[slot].watched.clone() {
-            let running = self.running_at(endpoint);
-            let now = self.now;
-            let told = match self.engines.get_mut(&endpoint) {
-                Some(engine) if engine.is_up(now) => {
-                    event::EndpointEvent::Load(engine.report(now, running))
-                }
-                _ => event::EndpointEvent::LoadFailed { endpoint },
-            };
-            self.deliver(slot, process, event::Event::Endpoint(told))?;
-        }
-        Ok(())
-    }
-
-    fn running_at(&self, endpoint: id::EndpointId) -> u32 {
-        self.slots.iter().map(|slot| slot.running_at(endpoint)).sum()
-    }
-
-    fn read_list(&mut self, slot: usize, process: u64) -> Result<(), Violation> {
-        if !self.slots[slot].is_process(process) {
-            return Ok(());
-        }
-        self.after(LIST_INTERVAL, Due::ReadList { slot, process });
-        if self.slots[slot].is_paused() {
-            return Ok(());
-        }
-        let told = if self.now < self.list_down_until {
-            event::PlatformEvent::InstancesFailed
-        } else {
-            event::PlatformEvent::Instances(self.list())
-        };
-        self.deliver(slot, process, event::Event::Platform(told))
-    }
-
-    fn list(&self) -> event::InstanceList {
-        let at = self.now.saturating_sub(LIST_LAG);
-        let mut instances = Vec::new();
-        for engine in self.engines.values() {
-            let address = address(10_000 + engine.endpoint as u16);
-            instances.push(node_setup::endpoint(engine, engine.listed(at), address));
-        }
-        instances.push(node_setup::desk(self.desk()));
-        for slot in self.slots.iter().filter(|slot| slot.is_running()) {
-            instances.push(node_setup::entry(slot.instance, slot.index));
-        }
-        event::InstanceList { taken_at: WALL + at, instances }
-    }
-
-    fn perform(
-        &mut self,
-        slot: usize,
-        process: u64,
-        actions: Vec<action::Action>,
-    ) -> Result<(), Violation> {
-        for action in actions {
-            self.perform_one(slot, process, action)?;
-        }
-        Ok(())
-    }
-
-    fn perform_one(
-        &mut self,
-        slot: usize,
-        process: u64,
-        action: action::Action,
-    ) -> Result<(), Violation> {
-        match action {
-            action::Action::Refuse { call, refusal } => {
-                self.refused(slot, process, call, refusal)?;
-            }
-            action::Action::Attach { call, request, .. } => {
-                self.attached(slot, process, call, request);
-            }
-            action::Action::Relay { call, request, nodes, .. } => {
-                self.relayed(slot, process, call, request, nodes);
-            }
-            action::Action::AnswerPlain { call, .. } => self.order_answered(slot, process, call),
-            action::Action::OpenAnswer(open) => self.slots[slot].open_answer(&open.record),
-            action::Action::FinishAnswer { request, finish } => {
-                self.slots[slot].finish_answer(request, finish);
-            }
-            action::Action::MoveAnswer { request, .. } | action::Action::DropAnswer { request } => {
-                self.slots[slot].answers.remove(&request);
-            }
-            action::Action::StartModel(attempt) => self.start_model(slot, process, *attempt)?,
-            action::Action::StartPlain(attempt) => self.start_plain(slot, process, &attempt),
-            action::Action::Cancel { attempt } => self.cancel(slot, process, attempt),
-            action::Action::Watch { endpoints } => {
-                self.slots[slot].watched =
-                    endpoints.into_iter().map(|watched| watched.endpoint).collect();
-            }
-            action::Action::Append { append, topic, record } => {
-                self.append(slot, process, append, topic, record);
-            }
-            action::Action::ReadFrom { topic, offset } => {
-                self.slots[slot].set_position(topic, offset);
-            }
-            action::Action::SendDatagram { to, datagram } => {
-                let from = address(Slot::port(slot));
-                self.send(to, event::PeerEvent::Datagram { from, datagram });
-            }
-            action::Action::SendStore { to, number, call } => {
-                let asker = Asker::Store { slot, process, number };
-                self.call(asker, to.address, |rpc| event::PeerEvent::Store { rpc, call });
-            }
-            action::Action::SendProgress { to, number, call } => {
-                let asker = Asker::Progress { slot, process, to: to.node, number };
-                self.call(asker, to.address, |rpc| event::PeerEvent::Progress { rpc, call });
-            }
-            action::Action::FetchRelease { to } => {
-                let asker = Asker::Release { slot, process };
-                self.call(asker, to.address, |rpc| event::PeerEvent::ReleaseFetch { rpc });
-            }
-            action::Action::Reply { rpc, reply } => self.replied(rpc, reply)?,
-            action::Action::SetReady(ready) => self.slots[slot].is_ready = ready,
-            action::Action::Stop => self.stop(slot, process)?,
-            action::Action::Log { message, .. } => {
-                if self.options.prints_log {
-                    eprintln!("{:>8} ms node {slot}: {message}", self.now.as_millis());
-                }
-            }
-            action::Action::AnswerServices { .. } | action::Action::CloseIdle => {}
-        }
-        Ok(())
-    }
-
-    fn stop(&mut self, slot: usize, process: u64) -> Result<(), Violation> {
-        let unfinished = self.slots[slot].unfinished();
-        if unfinished > 0 {
-            let what = format!("node {slot} stops while it runs {unfinished} requests");
-            return Err(self.violation(what));
-        }
-        self.kill(slot, process);
-        let wait = Duration::from_millis(self.rng.random_range(500..5_000));
-        self.after(wait, Due::Start { slot });
-        Ok(())
-    }
-
-    fn latency(&mut self) -> Duration {
-        Duration::from_micros(self.rng.random_range(300..12_000))
-    }
-
-    fn is_lost(&mut self) -> bool {
-        self.rng.random_range(0..100) < self.options.loss_percent
-    }
-
-    /// A message to whoever runs at an address; it may be lost.
-    fn send(&mut self, to: SocketAddr, message: event::PeerEvent) {
-        if self.is_lost() {
-            return;
-        }
-        if let Some(slot) = Slot::at_port(&self.slots, to.port()) {
-            let process = self.slots[slot].process;
-            let wait = self.latency();
-            let event = Box::new(event::Event::Peer(message));
-            self.after(wait, Due::Deliver { slot, process, event });
-        }
-    }
-
-    fn call(
-        &mut self,
-        asker: Asker,
-        to: SocketAddr,
-        question: impl FnOnce(event::RpcId) -> event::PeerEvent,
-    ) {
-        let rpc = self.next_rpc;
-        self.next_rpc += 1;
-        self.rpcs.insert(rpc, asker);
-        let is_there = Slot::at_port(&self.slots, to.port()).is_some();
-        self.send(to, question(rpc));
-        let timeout = if is_there { CALL_TIMEOUT } else { Duration::from_millis(5) };
-        self.after(timeout, Due::CallTimeout { rpc });
-    }
-
-    fn replied(&mut self, rpc: event::RpcId, reply: event::Reply) -> Result<(), Violation> {
-        if self.is_lost() {
-            return Ok(());
-        }
-        let Some(asker) = self.rpcs.remove(&rpc) else { return Ok(()) };
-        self.told(asker, Some(reply))
-    }
-
-    fn call_failed(&mut self, rpc: event::RpcId) -> Result<(), Violation> {
-        let Some(asker) = self.rpcs.remove(&rpc) else { return Ok(()) };
-        self.told(asker, None)
-    }
-
-    fn told(&mut self, asker: Asker, reply: Option<event::Reply>) -> Result<(), Violation> {
-        let (slot, process, told) = match (asker, reply) {
-            (Asker::Reader { caller, offset, rest }, reply) => {
-                return self.found(caller, offset, rest, reply);
-            }
-            (Asker::Store { slot, process, number }, Some(event::Reply::Store(reply))) => {
-                let reply = Some(reply);
-                (slot, process, event::PeerEvent::StoreReplied { number, reply })
-            }
-            (Asker::Store { slot, process, number }, _) => {
-                (slot, process, event::PeerEvent::StoreReplied { number, reply: None })
-            }
-            (Asker::Progress { slot, process, to, number }, reply) => {
-                let reply = match reply {
-                    Some(event::Reply::Progress(reply)) => Some(reply),
-                    _ => None,
-                };
-                (slot, process, event::PeerEvent::ProgressReplied { to, number, reply })
-            }
-            (Asker::Release { slot, process }, reply) => {
-                let reply = match reply {
-                    Some(event::Reply::Release(reply)) => Some(reply),
-                    _ => None,
-                };
-                (slot, process, event::PeerEvent::ReleaseFetched { reply })
-            }
-        };
-        let wait = self.latency();
-        let event = Box::new(event::Event::Peer(told));
-        self.after(wait, Due::Deliver { slot, process, event });
-        Ok(())
-    }
-
-    fn append(
-        &mut self,
-        slot: usize,
-        process: u64,
-        append: event::AppendId,
-        topic: event::Topic,
-        record: Vec<u8>,
-    ) {
-        let is_answer_lost = self.rng.random_range(0..100) < 2 * self.options.loss_percent;
-        let outcome = if !self.topics.is_up(self.now) {
-            event::AppendOutcome::Failed
-        } else {
-            let offset = self.topics.append(WALL + self.now, topic, record);
-            if is_answer_lost {
-                event::AppendOutcome::Unknown
-            } else {
-                event::AppendOutcome::At(offset)
-            }
-        };
-        let wait = self.latency();
-        let told = event::PlatformEvent::Appended { append, outcome };
-        let event = Box::new(event::Event::Platform(told));
-        self.after(wait, Due::Deliver { slot, process, event });
-    }
-
-    fn check_leaving(&self, slot: usize, endpoint: id::EndpointId) -> Result<(), Violation> {
-        let Some(engine) = self.engines.get(&endpoint) else { return Ok(()) };
-        let late = engine.notice_at.filter(|notice| self.now > *notice + LEAVING_BOUND);
-        match late {
-            Some(notice) if self.slots[slot].awake_since(self.now) > LEAVING_BOUND => {
-                let age = self.now - notice;
-                let what = format!(
-                    "node {slot} sends new work to endpoint {endpoint} {} ms after its notice",
-                    age.as_millis()
-                );
-                Err(self.violation(what))
-            }
-            _ => Ok(()),
-        }
-    }
-
-    fn start_model(
-        &mut self,
-        slot: usize,
-        process: u64,
-        attempt: action::ModelAttempt,
-    ) -> Result<(), Violation> {
-        self.check_leaving(slot, attempt.endpoint)?;
-        let engine = self.engines.get(&attempt.endpoint);
-        let refusal = match engine {
-            Some(engine) if !engine.is_up(self.now) => {
-                Some(event::ModelEnd::NotSent { message: "connection refused".to_owned() })
-            }
-            Some(engine) if engine.is_leaving(self.now) => {
-                Some(event::ModelEnd::Refused { retry_after: None })
-            }
-            Some(_) => None,
-            None => Some(event::ModelEnd::NotSent { message: "no such endpoint".to_owned() }),
-        };
-        let number = attempt.attempt;
-        if let Some(end) = refusal {
-            let told = event::EndpointEvent::ModelEnded { attempt: number, end };
-            let wait = self.latency();
-            let event = Box::new(event::Event::Endpoint(told));
-            self.after(wait, Due::Deliver { slot, process, event });
-            return Ok(());
-        }
-        self.slots[slot].begin_attempt(attempt);
-        let wait = self.latency() + fake_engine::TOKEN_INTERVAL;
-        self.after(wait, Due::Token { slot, process, attempt: number });
-        Ok(())
-    }
-
-    fn cancel(&mut self, slot: usize, process: u64, attempt: id::AttemptId) {
-        if self.slots[slot].attempts.remove(&attempt).is_some() {
-            let told =
-                event::EndpointEvent::ModelEnded { attempt, end: event::ModelEnd::Cancelled };
-            let event = Box::new(event::Event::Endpoint(told));
-            self.after(Duration::from_millis(1), Due::Deliver { slot, process, event });
-        }
-    }
-
-    /// An attempt's next token.
-    fn generate(
-        &mut self,
-        slot: usize,
-        process: u64,
-        attempt: id::AttemptId,
-    ) -> Result<(), Violation> {
-        if !self.slots[slot].is_process(process) {
-            return Ok(());
-        }
-        if self.slots[slot].is_paused() {
-            self.after(fake_engine::TOKEN_INTERVAL, Due::Token { slot, process, attempt });
-            return Ok(());
-        }
-        let Some(endpoint) = self.slots[slot].attempts.get(&attempt).map(|a| a.endpoint) else {
-            return Ok(());
-        };
-        let is_up = self.engines.get(&endpoint).is_some_and(|engine| engine.is_up(self.now));
-        if !is_up {
-            self.slots[slot].attempts.remove(&attempt);
-            let end = event::ModelEnd::Broken { message: "connection reset".to_owned() };
-            let told = event::EndpointEvent::ModelEnded { attempt, end };
-            return self.deliver(slot, process, event::Event::Endpoint(told));
-        }
-        let generated = self.slots[slot].generate(attempt);
-        self.report.generated_tokens += 1;
-        for told in generated.events {
-            self.deliver(slot, process, event::Event::Endpoint(told))?;
-        }
-        if !generated.is_over {
-            self.after(fake_engine::TOKEN_INTERVAL, Due::Token { slot, process, attempt });
-        }
-        Ok(())
-    }
-
-    fn start_plain(&mut self, slot: usize, process: u64, attempt: &action::PlainAttempt) {
-        let key = attempt.idempotency_key.clone().unwrap_or_default();
-        let wait = Duration::from_millis(self.rng.random_range(1..400));
-        let is_lost = self.rng.random_range(0..100) < 2 * self.options.loss_percent;
-        let attempt = attempt.attempt;
-        self.after(wait, Due::DeskAnswer { slot, process, attempt, key, is_lost });
-    }
-
-    /// The desk runs a call, whatever became of the node that sent it.
-    fn desk_answer(
-        &mut self,
-        slot: usize,
-        process: u64,
-        attempt: id::AttemptId,
-        key: &str,
-        is_lost: bool,
-    ) -> Result<(), Violation> {
-        let runs = self.runs.entry(key.to_owned()).or_default();
-        *runs += 1;
-        let runs = *runs;
-        if runs > 1 {
-            return Err(self.violation(format!("order {key} ran {runs} times")));
-        }
-        for caller in self.callers.by_id.values() {
-            let is_this = caller.wish == Wish::Order { key: key.to_owned() };
-            let refusal = caller.refusal.as_ref().filter(|_| is_this);
-            if refusal.is_some_and(|refusal| refusal.outcome == action::Outcome::NotRun) {
-                return Err(self.violation(format!("order {key} ran after it was told not run")));
-            }
-        }
-        let end = if is_lost {
-            event::PlainEnd::Unknown { message: "connection reset".to_owned() }
-        } else {
-            let body = format!("confirmed {key}").into_bytes();
-            event::PlainEnd::Answered(event::PlainAnswer {
-                status: 200,
-                content_type: "text/plain".to_owned(),
-                body,
-            })
-        };
-        let told = event::EndpointEvent::PlainEnded { attempt, end };
-        self.deliver(slot, process, event::Event::Endpoint(told))
-    }
-
-    /// A caller asks some node that says that it is ready.
-    fn new_caller(&mut self) -> Result<(), Violation> {
-        if !self.storm_over {
-            let wait = Duration::from_millis(self.rng.random_range(50..600));
-            self.after(wait, Due::NewCaller);
-        }
-        let Some(slot) = self.ready_slot() else { return Ok(()) };
-        let process = self.slots[slot].process;
-        let is_order = self.rng.random_range(0..4) == 0;
-        let number = self.callers.by_id.len();
-        let wish = if is_order {
-            Wish::Order { key: format!("key-{number}") }
-        } else {
-            let body = node_setup::body(number);
-            Wish::Model { body, tokens: self.rng.random_range(1..250) }
-        };
-        let caller = self.callers.add(self.now, wish.clone(), slot, process);
-        let secret = self.rng.random();
-        let call = self.new_call(slot, process, caller);
-        let event = match wish {
-            Wish::Model { body, tokens } => {
-                self.report.asked += 1;
-                node_setup::model_call(call, body, tokens, secret)
-            }
-            Wish::Order { key } => {
-                self.report.orders += 1;
-                node_setup::order_call(call, key, secret)
-            }
-        };
-        self.deliver(slot, process, event::Event::Caller(event))
-    }
-
-    fn ready_slot(&mut self) -> Option<usize> {
-        let ready: Vec<usize> =
-            (0..self.slots.len()).filter(|slot| self.slots[*slot].is_ready()).collect();
-        if ready.is_empty() {
-            return None;
-        }
-        Some(ready[self.rng.random_range(0..ready.len())])
-    }
-
-    fn new_call(&mut self, slot: usize, process: u64, caller: CallerId) -> event::CallId {
-        let call = self.next_call;
-        self.next_call += 1;
-        self.calls.insert((slot, process, call), caller);
-        call
-    }
-
-    fn caller_of(&mut self, slot: usize, process: u64, call: event::CallId) -> Option<CallerId> {
-        self.calls.remove(&(slot, process, call))
-    }
-
-    fn refused(
-        &mut self,
-        slot: usize,
-        process: u64,
-        call: event::CallId,
-        refusal: action::Refusal,
-    ) -> Result<(), Violation> {
-        let Some(id) = self.caller_of(slot, process, call) else { return Ok(()) };
-        let now = self.now;
-        let caller = self.callers.by_id.get_mut(&id).expect("the caller asked");
-        if caller.request.is_some() {
-            // Looked for its answer and was refused; asks again.
-            caller.stage = Stage::Searching { at: now };
-            self.after(Duration::from_millis(400), Due::Read { caller: id });
-            return Ok(());
-        }
-        caller.stage = Stage::Done;
-        let outcome = refusal.outcome;
-        caller.refusal = Some(refusal);
-        if let Wish::Order { key } = caller.wish.clone() {
-            match outcome {
-                action::Outcome::NotRun => self.report.orders_not_run += 1,
-                _ => self.report.orders_in_doubt += 1,
-            }
-            let runs = self.runs.get(&key).copied().unwrap_or(0);
-            if outcome == action::Outcome::NotRun && runs > 0 {
-                return Err(self.violation(format!("order {key} ran and was told not run")));
-            }
-        }
-        Ok(())
-    }
-
-    fn order_answered(&mut self, slot: usize, process: u64, call: event::CallId) {
-        let Some(id) = self.caller_of(slot, process, call) else { return };
-        let caller = self.callers.by_id.get_mut(&id).expect("the caller asked");
-        caller.is_answered = true;
-        caller.stage = Stage::Done;
-        self.report.orders_answered += 1;
-    }
-
-    fn attached(&mut self, slot: usize, process: u64, call: event::CallId, request: id::RequestId) {
-        let Some(id) = self.caller_of(slot, process, call) else { return };
-        let caller = self.callers.by_id.get_mut(&id).expect("the caller asked");
-        if caller.request.is_none() {
-            self.report.accepted += 1;
-        }
-        caller.request = Some(request);
-        caller.stage = Stage::Reading { slot, process };
-        self.after(READ_INTERVAL, Due::Read { caller: id });
-    }
-
-    fn relayed(
-        &mut self,
-        slot: usize,
-        process: u64,
-        call: event::CallId,
-        request: id::RequestId,
-        nodes: Vec<action::PeerAddress>,
-    ) {
-        let Some(id) = self.caller_of(slot, process, call) else { return };
-        self.ask_next(id, request, nodes);
-    }
-
-    /// Asks the next node that may hold a request, on the caller's behalf.
-    fn ask_next(
-        &mut self,
-        caller: CallerId,
-        request: id::RequestId,
-        mut nodes: Vec<action::PeerAddress>,
-    ) {
-        if nodes.is_empty() {
-            self.after(Duration::from_millis(400), Due::Read { caller });
-            return;
-        }
-        let to = nodes.remove(0);
-        let offset = self.callers.by_id[&caller].text.len();
-        let call = rhubarbrock_schema::peer::FindCall {
-            request: request.to_string(),
-            organisation: node_setup::ORGANISATION.to_owned(),
-            offset: offset as u64,
-            wait_ms: 0,
-        };
-        let asker = Asker::Reader { caller, offset, rest: nodes };
-        self.call(asker, to.address, |rpc| event::PeerEvent::Find { rpc, call });
-    }
-
-    fn found(
-        &mut self,
-        caller: CallerId,
-        offset: usize,
-        rest: Vec<action::PeerAddress>,
-        reply: Option<event::Reply>,
-    ) -> Result<(), Violation> {
-        let Some(request) = self.callers.by_id[&caller].request else { return Ok(()) };
-        let found = match reply {
-            Some(event::Reply::Find(found)) => found,
-            _ => {
-                self.ask_next(caller, request, rest);
-                return Ok(());
-            }
-        };
-        let has_news = !found.text.is_empty() || found.finish.is_some();
-        if !has_news {
-            self.ask_next(caller, request, rest);
-            return Ok(());
-        }
-        let finish = found.finish.clone();
-        self.take_text(caller, offset, &found.text, finish.as_ref())?;
-        if finish.is_none() {
-            self.after(READ_INTERVAL, Due::Read { caller });
-        }
-        Ok(())
-    }
-
-    /// A caller looks for more of its answer.
-    fn read_answer(&mut self, id: CallerId) -> Result<(), Violation> {
-        let caller = &self.callers.by_id[&id];
-        let Some(request) = caller.request else { return Ok(()) };
-        match caller.stage {
-            Stage::Done | Stage::Asking { .. } => Ok(()),
-            Stage::Reading { slot, process } => {
-                let offset = caller.text.len();
-                match self.slots[slot].read(process, request, offset) {
-                    Some(part) => {
-                        self.take_text(id, offset, &part.text, part.finish.as_ref())?;
-                        if part.finish.is_none() {
-                            self.after(READ_INTERVAL, Due::Read { caller: id });
-                        }
-                    }
-                    None => {
-                        let now = self.now;
-                        let caller = self.callers.by_id.get_mut(&id).expect("it reads");
-                        caller.stage = Stage::Searching { at: now };
-                        self.after(READ_INTERVAL, Due::Read { caller: id });
-                    }
-                }
-                Ok(())
-            }
-            Stage::Searching { .. } => self.search(id, request),
-        }
-    }
-
-    fn search(&mut self, caller: CallerId, request: id::RequestId) -> Result<(), Violation> {
-        let Some(slot) = self.ready_slot() else {
-            self.after(Duration::from_millis(400), Due::Read { caller });
-            return Ok(());
-        };
-        let process = self.slots[slot].process;
-        let offset = self.callers.by_id[&caller].text.len() as u64;
-        let call = self.new_call(slot, process, caller);
-        let find = event::FindCall { call, key_sha256: node_setup::key_sha256(), request, offset };
-        let event = event::Event::Caller(event::CallerEvent::Find(find));
-        self.deliver(slot, process, event)?;
-        // A node that dies with the question never answers it.
-        self.after(Duration::from_secs(3), Due::Read { caller });
-        Ok(())
-    }
-
-    fn take_text(
-        &mut self,
-        id: CallerId,
-        offset: usize,
-        text: &str,
-        finish: Option<&rhubarbrock_schema::peer::Finish>,
-    ) -> Result<(), Violation> {
-        let now = self.now;
-        let caller = self.callers.by_id.get_mut(&id).expect("it reads");
-        if caller.stage == Stage::Done {
-            return Ok(());
-        }
-        let Wish::Model { body, tokens } = &caller.wish else { return Ok(()) };
-        let whole = fake_engine::answer(body, *tokens);
-        let tokens = *tokens;
-        let is_own = whole.get(offset..).is_some_and(|rest| rest.starts_with(text));
-        // A caller that asked twice gets some text twice, each time at the offset it asked for.
-        if let Some(new) = text.get(caller.text.len() - offset..) {
-            caller.text.push_str(new);
-        }
-        if !is_own || !whole.starts_with(&caller.text) {
-            let what = format!("caller {id} reads text that is not its own, or not in order");
-            return Err(self.violation(what));
-        }
-        let Some(finish) = finish else { return Ok(()) };
-        if !finish.error.is_empty() {
-            let what = format!("caller {id}'s accepted request failed: {}", finish.error);
-            return Err(self.violation(what));
-        }
-        if caller.text != whole {
-            return Err(self.violation(format!("caller {id}'s answer ends early")));
-        }
-        caller.stage = Stage::Done;
-        caller.done_at = Some(now);
-        let took = now - caller.asked_at;
-        self.report.answered += 1;
-        self.report.answer_tokens += u64::from(tokens);
-        self.report.longest = self.report.longest.max(took);
-        Ok(())
-    }
-
-    fn check_end(&mut self) -> Result<(), Violation> {
+    pub(crate) fn check_end(&mut self) -> Result<(), Violation> {
         for (id, caller) in &self.callers.by_id {
             if caller.request.is_some() && caller.done_at.is_none() {
                 let request = caller.request.map(|request| request.to_string());
@@ -1063,7 +404,7 @@
         Ok(())
     }
 
-    fn fault(&mut self) -> Result<(), Violation> {
+    pub(crate) fn fault(&mut self) -> Result<(), Violation> {
         if self.storm_over {
             return Ok(());
         }
@@ -1073,22 +414,8 @@
         node_faults::inject(self)
     }
 
-    /// Gives nodes notice of instances, each after its own delay.
-    pub(crate) fn announce(&mut self, notices: Vec<event::Notice>) {
-        for slot in 0..self.slots.len() {
-            if !self.slots[slot].is_running() {
-                continue;
-            }
-            let process = self.slots[slot].process;
-            let wait = Duration::from_millis(self.rng.random_range(1..600));
-            let told = event::PlatformEvent::Notices(notices.clone());
-            let event = Box::new(event::Event::Platform(told));
-            self.after(wait, Due::Deliver { slot, process, event });
-        }
-    }
-
     /// New endpoints take the place of those that went.
-    fn replace(&mut self, data_centre: usize) {
+    pub(crate) fn replace(&mut self, data_centre: usize) {
         let gone: Vec<id::EndpointId> = self
             .engines
             .values()
