Let nodes leave in the world of claims

Cause: telling every caller when an instance goes was not tried by any test.

Change: a node may leave at any event and must tell each caller; the outcomes it tells are held to the same invariants.

--- a/proofs/src/claim_world.rs
+++ b/proofs/src/claim_world.rs
@@ -148,6 +148,8 @@
     claims: Claims,
     id: u64,
     is_paused: bool,
+    /// Whether its instance is reclaimed and its callers were told.
+    is_leaving: bool,
     /// The log state it was told.
     log_seen_down: bool,
 }
@@ -248,7 +250,7 @@
         let id = self.rng.random();
         let seed = self.rng.random();
         let claims = Claims::new(config(), id, seed);
-        Node { claims, id, is_paused: false, log_seen_down: false }
+        Node { claims, id, is_paused: false, is_leaving: false, log_seen_down: false }
     }
 
     fn check(&mut self) -> Result<(), Violation> {
@@ -282,7 +284,8 @@
             973..983 => self.tell_log_state(),
             _ if !self.fails(1, 1) => {}
             983..986 => self.pause(),
-            986..988 => self.kill(),
+            986..987 => self.kill(),
+            987..988 => self.leave(),
             988..990 => self.log.down = true,
             990..992 => self.pass_long(),
             992..995 => self.append_garbage(),
@@ -311,6 +314,9 @@
     /// A caller calls: a new key, or one it used within its life.
     fn begin(&mut self) {
         let Some(node) = self.draw_node() else { return };
+        if self.nodes[node].is_leaving {
+            return;
+        }
         let recent = self.recent_key();
         let is_new = recent.is_none() || self.rng.random_ratio(1, 3);
         let key = match recent {
@@ -419,6 +425,20 @@
     fn resume(&mut self) {
         let node = self.rng.random_range(0..self.nodes.len());
         self.nodes[node].is_paused = false;
+        if self.nodes[node].is_leaving && self.nodes[node].claims.is_idle() {
+            self.nodes[node] = self.new_node();
+        }
+    }
+
+    /// A node's instance is about to go: each caller is told what is true then.
+    fn leave(&mut self) {
+        let Some(node) = self.draw_node() else { return };
+        self.nodes[node].is_leaving = true;
+        let actions = self.nodes[node].claims.conclude_all(self.now);
+        self.perform(node, actions);
+        if self.untold.iter().any(|call| self.callers[call].node == node) {
+            self.break_with(format!("node {node} leaves a caller untold"));
+        }
     }
 
     /// Whether something fails that does so in one of so many cases of a storm.
