--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -2,11 +2,16 @@
 
 mod baseline;
 mod choice_study;
+mod custody;
 mod deadline_study;
 mod fairness_study;
+mod fit;
+mod fleet;
+mod membership;
 mod outcome;
 mod plot;
 mod policies;
+mod process;
 mod replay;
 mod report;
 mod soak;
@@ -31,6 +36,7 @@
     Policies(policies::Policies),
     Trace(trace::Generate),
     Replay(policies::Replay),
+    Membership(membership::Membership),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -40,5 +46,6 @@
         Command::Policies(policies) => policies.run(),
         Command::Trace(generate) => generate.run(),
         Command::Replay(replay) => replay.run(),
+        Command::Membership(membership) => membership.run(),
     }
 }
