Measure membership and custody, and let news through while many join

The change: `bench membership` measures CPU, bytes, messages, memory, spread and the age of loads against nodes, replicas, organisations and requests a second. A key of other news starts afresh only every 0.1 s (0.2 s) for each load (count) kept. Copies are passed on in batches. Settings and filling of datagrams moved out of `membership` into files of their own.

Seen failing first: no room reserved (other_news_is_told_while_many_nodes_join), no spacing (a_load_that_changes_often…). A trial with one telling for each doubling failed leaving_is_told_to_all… and was dropped.

--- /dev/null
+++ b/bench/src/fit.rs
@@ -0,0 +1,81 @@
+//! Least-squares lines and tables.
+
+/// A line through measured points.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Line {
+    /// Value at 0.
+    pub(crate) base: f64,
+    /// Growth per unit.
+    pub(crate) slope: f64,
+    /// Largest distance of a point from the line, in percent of the largest value.
+    pub(crate) residual_percent: f64,
+}
+
+/// The line with the least squared distance from `points`.
+pub(crate) fn line(points: &[(f64, f64)]) -> Line {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let spread: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let joint: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let slope = joint / spread;
+    let base = mean_y - slope * mean_x;
+    let largest = points.iter().map(|(_, y)| y.abs()).fold(f64::MIN_POSITIVE, f64::max);
+    let distance = |(x, y): &(f64, f64)| (y - base - slope * x).abs();
+    let residual_percent = points.iter().map(distance).fold(0.0, f64::max) / largest * 100.0;
+    Line { base, slope, residual_percent }
+}
+
+/// One measured figure at each size.
+pub(crate) struct Column {
+    pub(crate) name: &'static str,
+    pub(crate) values: Vec<f64>,
+}
+
+/// Prints the figures of each size, then the line through each column.
+pub(crate) fn print(title: &str, unit: &str, sizes: &[u32], columns: &[Column]) {
+    println!("\n### {title}\n");
+    let names: Vec<&str> = columns.iter().map(|column| column.name).collect();
+    println!("| {unit} | {} |", names.join(" | "));
+    println!("|---:|{}", "---:|".repeat(columns.len()));
+    for (index, size) in sizes.iter().enumerate() {
+        let cells: Vec<String> =
+            columns.iter().map(|column| format!("{}", Short(column.values[index]))).collect();
+        println!("| {size} | {} |", cells.join(" | "));
+    }
+    let lines: Vec<Line> = columns
+        .iter()
+        .map(|column| {
+            let points: Vec<(f64, f64)> = sizes
+                .iter()
+                .zip(&column.values)
+                .map(|(&size, &value)| (f64::from(size), value))
+                .collect();
+            line(&points)
+        })
+        .collect();
+    let row = |name: &str, value: &dyn Fn(&Line) -> f64| {
+        let cells: Vec<String> =
+            lines.iter().map(|line| format!("{}", Short(value(line)))).collect();
+        println!("| {name} | {} |", cells.join(" | "));
+    };
+    row("at 0", &|line| line.base);
+    row(&format!("slope per {unit}"), &|line| line.slope);
+    row("residual, %", &|line| line.residual_percent);
+}
+
+/// A number with about four digits.
+struct Short(f64);
+
+impl std::fmt::Display for Short {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let size = self.0.abs();
+        let digits = match size {
+            _ if size >= 1_000.0 => 0,
+            _ if size >= 100.0 => 1,
+            _ if size >= 1.0 => 2,
+            _ => 4,
+        };
+        write!(formatter, "{:.*}", digits, self.0)
+    }
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -3,11 +3,16 @@
 mod baseline;
 mod capacity_plan;
 mod choice_study;
+mod custody;
 mod deadline_study;
 mod fairness_study;
+mod fit;
+mod fleet;
+mod membership;
 mod outcome;
 mod plot;
 mod policies;
+mod process;
 mod replay;
 mod report;
 mod soak;
@@ -33,6 +38,7 @@
     Trace(trace::Generate),
     Replay(policies::Replay),
     CapacityPlan(capacity_plan::CapacityPlan),
+    Membership(membership::Membership),
 }
 
 fn main() -> anyhow::Result<()> {
@@ -43,5 +49,6 @@
         Command::Trace(generate) => generate.run(),
         Command::Replay(replay) => replay.run(),
         Command::CapacityPlan(plan) => plan.run(),
+        Command::Membership(membership) => membership.run(),
     }
 }
--- a/rhubarbrock/src/broadcast.rs
+++ b/rhubarbrock/src/broadcast.rs
@@ -5,7 +5,7 @@
 use crate::id;
 
 /// Tellings of one change, per doubling of the number of nodes.
-const TELLINGS_PER_DOUBLING: u32 = 3;
+const TELLINGS_PER_DOUBLING: u32 = 2;
 
 /// How often one change is told by each node among `nodes` nodes.
 pub fn tellings(nodes: usize) -> u32 {
--- a/rhubarbrock/src/digest.rs
+++ b/rhubarbrock/src/digest.rs
@@ -16,6 +16,13 @@
 const LOAD_LIFE: Duration = Duration::from_secs(120);
 const USAGE_LIFE: Duration = Duration::from_secs(600);
 const SUSPECT_LIFE: Duration = Duration::from_secs(3_600);
+
+/// Time between restarts of a load's tellings, for each load kept.
+pub const SPACING_PER_LOAD: Duration = Duration::from_millis(100);
+
+/// Time between restarts of a usage count's tellings, for each count kept.
+pub const SPACING_PER_USAGE: Duration = Duration::from_millis(200);
+
 const MAX_ORGANISATION_BYTES: usize = 128;
 const MAX_CRASHED_ENDPOINTS: usize = 8;
 
@@ -50,6 +57,8 @@
 struct Entry {
     item: Item,
     observed_at: Duration,
+    /// When the key's tellings were last counted from 0.
+    restarted_at: Duration,
     turn: Turn,
 }
 
@@ -60,13 +69,20 @@
     entries: BTreeMap<Key, Entry>,
     turns: BTreeSet<(Turn, Key)>,
     serial: u64,
+    usage_len: usize,
 }
 
 impl News {
     /// An empty store that holds at most `max_items`.
     pub fn new(max_items: usize) -> News {
         assert!(max_items > 0, "a store without room tells nothing");
-        News { max_items, entries: BTreeMap::new(), turns: BTreeSet::new(), serial: 0 }
+        News {
+            max_items,
+            entries: BTreeMap::new(),
+            turns: BTreeSet::new(),
+            serial: 0,
+            usage_len: 0,
+        }
     }
 
     /// Number of items kept.
@@ -88,10 +104,19 @@
             return false;
         }
         let key = key(&item);
+        let observed_at = now.saturating_sub(age(&item));
+        let spacing = self.spacing(&item);
         if let Some(entry) = self.entries.get(&key) {
             if !is_newer(&item, &entry.item) {
                 return false;
             }
+            let goes_on = now < entry.restarted_at + spacing;
+            if goes_on && !is_urgent(&item) && entry.turn.ordinary {
+                let entry = self.entries.get_mut(&key).expect("just looked up");
+                entry.item = item;
+                entry.observed_at = observed_at;
+                return true;
+            }
             self.remove(&key);
         }
         if self.entries.len() >= self.max_items {
@@ -99,9 +124,9 @@
         }
         self.serial += 1;
         let turn = Turn { ordinary: !is_urgent(&item), told: 0, serial: Reverse(self.serial) };
-        let observed_at = now.saturating_sub(age(&item));
         self.turns.insert((turn, key.clone()));
-        self.entries.insert(key, Entry { item, observed_at, turn });
+        self.usage_len += usize::from(matches!(item, Item::Usage(_)));
+        self.entries.insert(key, Entry { item, observed_at, restarted_at: now, turn });
         true
     }
 
@@ -117,8 +142,10 @@
     /// Adds items to `digest` while they fit in `budget_bytes`; gives back the bytes left.
     ///
     /// Urgent items come first (suspects, endpoints that leave or cannot be
-    /// reached), then the least told, then the newest. An item told
-    /// `max_told` times is told no more.
+    /// reached), then the least told, then the newest. An item told `max_told`
+    /// times is told no more. A newer item of its key is told from the beginning
+    /// only after [`SPACING_PER_LOAD`] or [`SPACING_PER_USAGE`] for each item kept,
+    /// so that what all keys together say fits into the datagrams.
     pub fn fill(
         &mut self,
         now: Duration,
@@ -187,10 +214,21 @@
     fn remove(&mut self, key: &Key) {
         if let Some(entry) = self.entries.remove(key) {
             self.turns.remove(&(entry.turn, key.clone()));
+            self.usage_len -= usize::from(matches!(entry.item, Item::Usage(_)));
+        }
+    }
+
+    /// Shortest time between two restarts of a key's tellings.
+    fn spacing(&self, item: &Item) -> Duration {
+        let usages = self.usage_len as u32;
+        match item {
+            Item::Load(_) => SPACING_PER_LOAD * (self.entries.len() as u32 - usages),
+            Item::Usage(_) => SPACING_PER_USAGE * usages,
+            Item::Suspect(_) => Duration::ZERO,
         }
     }
 
-    /// Makes room by dropping the item that was told most, the oldest of these.
+    /// Makes room by dropping the item whose turn comes last.
     fn evict(&mut self) {
         let last = self.turns.last().map(|(_, key)| key.clone());
         if let Some(key) = last {
--- a/rhubarbrock/src/hand_over.rs
+++ b/rhubarbrock/src/hand_over.rs
@@ -73,22 +73,54 @@
             .filter(|(_, kept)| may_be_last(kept))
             .map(|(&request, _)| request)
             .collect();
-        last.into_iter().filter_map(|request| self.pass_on(now, request)).collect()
+        self.pass_on(now, last)
     }
 
-    fn pass_on(&mut self, now: Duration, request: id::RequestId) -> Option<Action> {
+    /// Store calls for copies, in batches for each receiver.
+    fn pass_on(&mut self, now: Duration, requests: Vec<id::RequestId>) -> Vec<Action> {
+        let mut batches: BTreeMap<id::NodeId, Batch> = BTreeMap::new();
+        let mut actions = Vec::new();
+        for request in requests {
+            let Some(node) = self.next_keeper(request) else { continue };
+            let kept = &self.kept[&request];
+            let batch = batches.entry(node).or_default();
+            batch.bytes += custody::state_bytes(&kept.record, &kept.answer);
+            batch.requests.push(request);
+            if batch.requests.len() >= BATCH_LEN || batch.bytes >= self.config.max_call_bytes {
+                let full = std::mem::take(batch);
+                actions.push(self.pass_on_call(now, node, full));
+            }
+        }
+        for (node, batch) in batches {
+            if !batch.requests.is_empty() {
+                actions.push(self.pass_on_call(now, node, batch));
+            }
+        }
+        actions
+    }
+
+    fn pass_on_call(&mut self, now: Duration, to: id::NodeId, batch: Batch) -> Action {
+        let mut marks = Vec::new();
+        let mut records = Vec::new();
+        for request in batch.requests {
+            let kept = &self.kept[&request];
+            let age = now.saturating_sub(kept.accepted_at);
+            records.push(custody::whole_record(&kept.record, &kept.answer, age));
+            let finished = kept.answer.finish().is_some();
+            marks.push((request, custody::Mark { up_to: kept.answer.end(), finished }));
+        }
+        self.store_call(now, to, custody::Purpose::PassOn, marks, records)
+    }
+
+    /// The next node to keep a copy instead of this one.
+    fn next_keeper(&mut self, request: id::RequestId) -> Option<id::NodeId> {
         let kept = self.kept.get_mut(&request)?;
         let holder = kept.record.holder;
         let to = placement::custodians(request, &self.me, &self.places)
             .into_iter()
             .find(|node| *node != holder && !kept.passed_to.contains(node))?;
         kept.passed_to.insert(to);
-        let age = now.saturating_sub(kept.accepted_at);
-        let record = custody::whole_record(&kept.record, &kept.answer, age);
-        let mark =
-            custody::Mark { up_to: kept.answer.end(), finished: kept.answer.finish().is_some() };
-        let purpose = custody::Purpose::PassOn;
-        Some(self.store_call(now, to, purpose, vec![(request, mark)], vec![record]))
+        Some(to)
     }
 
     /// Takes in the answer to passing copies on; asks the next node where one did not keep it.
@@ -109,7 +141,7 @@
             .map(|(request, _)| *request)
             .filter(|request| !is_settled(request))
             .collect();
-        open.into_iter().filter_map(|request| self.pass_on(now, request)).collect()
+        self.pass_on(now, open)
     }
 
     fn adopter(&self, request: id::RequestId) -> Option<id::NodeId> {
--- a/rhubarbrock/src/lib.rs
+++ b/rhubarbrock/src/lib.rs
@@ -49,6 +49,8 @@
 pub mod limit;
 pub mod member_table;
 pub mod membership;
+mod membership_config;
+mod membership_fill;
 pub mod node;
 mod node_custody;
 mod node_drain;
--- a/rhubarbrock/src/membership.rs
+++ b/rhubarbrock/src/membership.rs
@@ -12,7 +12,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use prost::Message;
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
 use rand_chacha::ChaCha8Rng;
@@ -26,9 +25,8 @@
 use crate::probe;
 
 pub use crate::member_table::{Change, ChangeKind, Known, State, Why};
+pub use crate::membership_config::Config;
 
-/// Bytes of a datagram that are not its digest: fixed fields and the digest's tag and length.
-const ENVELOPE_BYTES: usize = 64;
 const RELAY_LIMIT: usize = 64;
 const FRESH_LIMIT: usize = 4_096;
 const CHANGE_LIMIT: usize = 4_096;
@@ -36,97 +34,6 @@
 const REMIND_INTERVAL: Duration = Duration::from_millis(500);
 const CONTACTS_PER_INTERVAL: usize = 2;
 
-/// Settings of the failure detector.
-#[derive(Debug, Clone)]
-pub struct Config {
-    probe_interval: Duration,
-    probe_timeout: Duration,
-    indirect_probes: usize,
-    suspicion_unit: Duration,
-    pause_bound: Duration,
-    stale_bound: Duration,
-    dead_life: Duration,
-    datagram_bytes: usize,
-    news_bytes: usize,
-    sampled_members: usize,
-    max_members: usize,
-    max_news: usize,
-}
-
-impl Default for Config {
-    fn default() -> Config {
-        Config {
-            probe_interval: Duration::from_secs(1),
-            probe_timeout: Duration::from_millis(400),
-            indirect_probes: 3,
-            suspicion_unit: Duration::from_millis(600),
-            pause_bound: Duration::from_millis(1_500),
-            stale_bound: Duration::from_secs(30),
-            dead_life: Duration::from_secs(1_800),
-            datagram_bytes: 1_100,
-            news_bytes: 480,
-            sampled_members: 1,
-            max_members: 4_096,
-            max_news: 16_384,
-        }
-    }
-}
-
-impl Config {
-    /// Time between probes; the time-out for a direct answer is two fifths of it.
-    pub fn probe_interval(mut self, interval: Duration) -> Config {
-        assert!(interval >= Duration::from_millis(10), "probes need time for an answer");
-        self.probe_interval = interval;
-        self.probe_timeout = interval * 2 / 5;
-        self.suspicion_unit = interval * 3 / 5;
-        self.pause_bound = interval * 3 / 2;
-        self
-    }
-
-    /// How many others are asked to probe a node that gave no direct answer.
-    pub fn indirect_probes(mut self, count: usize) -> Config {
-        self.indirect_probes = count;
-        self
-    }
-
-    /// Time to refute a suspicion, per doubling of the number of nodes.
-    pub fn suspicion_unit(mut self, unit: Duration) -> Config {
-        self.suspicion_unit = unit;
-        self
-    }
-
-    /// Age at which a datagram is dropped, by the wall clocks of sender and receiver.
-    pub fn stale_bound(mut self, bound: Duration) -> Config {
-        self.stale_bound = bound;
-        self
-    }
-
-    /// How long a dead node is remembered.
-    pub fn dead_life(mut self, life: Duration) -> Config {
-        self.dead_life = life;
-        self
-    }
-
-    /// Largest datagram before its HMAC, in bytes; membership news may fill it.
-    pub fn datagram_bytes(mut self, bytes: usize) -> Config {
-        assert!(bytes >= 512, "a datagram holds at least one record of a node");
-        self.datagram_bytes = bytes;
-        self
-    }
-
-    /// Size of a datagram up to which other news is added, in bytes.
-    pub fn news_bytes(mut self, bytes: usize) -> Config {
-        self.news_bytes = bytes;
-        self
-    }
-
-    /// Known nodes told of in each datagram besides those with changes.
-    pub fn sampled_members(mut self, count: usize) -> Config {
-        self.sampled_members = count;
-        self
-    }
-}
-
 /// A datagram to be sent; the sender's thread sets `sent_at_ms`.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Outgoing {
@@ -156,25 +63,25 @@
 /// The state of the failure detector of one node.
 #[derive(Debug, Clone)]
 pub struct Membership {
-    config: Config,
-    me: peer::Member,
-    table: member_table::MemberTable,
-    probes: probe::Probes,
-    round: probe::Round,
-    local_round: probe::Round,
-    sample_round: probe::Round,
-    probes_sent: u64,
-    contacts: contacts::Contacts,
-    reminded_at: BTreeMap<id::NodeId, Duration>,
-    news: digest::News,
-    fresh: Vec<digest::Item>,
-    release_version: id::Version,
-    heard_version: id::Version,
-    last_tick: Option<Duration>,
-    next_probe_at: Duration,
-    next_expiry_at: Duration,
-    rng: ChaCha8Rng,
-    counters: Counters,
+    pub(crate) config: Config,
+    pub(crate) me: peer::Member,
+    pub(crate) table: member_table::MemberTable,
+    pub(crate) probes: probe::Probes,
+    pub(crate) round: probe::Round,
+    pub(crate) local_round: probe::Round,
+    pub(crate) sample_round: probe::Round,
+    pub(crate) probes_sent: u64,
+    pub(crate) contacts: contacts::Contacts,
+    pub(crate) reminded_at: BTreeMap<id::NodeId, Duration>,
+    pub(crate) news: digest::News,
+    pub(crate) fresh: Vec<digest::Item>,
+    pub(crate) release_version: id::Version,
+    pub(crate) heard_version: id::Version,
+    pub(crate) last_tick: Option<Duration>,
+    pub(crate) next_probe_at: Duration,
+    pub(crate) next_expiry_at: Duration,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) counters: Counters,
 }
 
 impl Membership {
@@ -361,11 +268,13 @@
 
     fn take_in(&mut self, now: Duration, sender: id::NodeId, digest: &peer::Digest) {
         self.heard_version = self.heard_version.max(digest.release_version);
+        let limit = broadcast::tellings(self.table.running().count() + 1);
         for member in &digest.members {
             if member.node == self.me.node {
                 self.refute(member);
-            } else {
-                self.table.apply(now, member, sender);
+            } else if !self.table.apply(now, member, sender) {
+                // Others tell it as well, so this node need not tell it as often.
+                self.table.broadcasts.count(member.node, limit);
             }
         }
         let changes = &mut self.table.changes;
@@ -613,122 +522,4 @@
         };
         self.contacts.retain(is_wanted);
     }
-
-    fn datagram(
-        &self,
-        kind: peer::DatagramKind,
-        number: probe::ProbeNumber,
-        target: id::NodeId,
-    ) -> peer::Datagram {
-        let digest = peer::Digest { release_version: self.release_version, ..Default::default() };
-        peer::Datagram {
-            kind: kind.into(),
-            sender: self.me.node,
-            probe: number,
-            target,
-            digest: Some(digest),
-            ..Default::default()
-        }
-    }
-
-    fn ping(
-        &mut self,
-        now: Duration,
-        to: SocketAddr,
-        number: probe::ProbeNumber,
-        target: id::NodeId,
-        show_me: bool,
-    ) -> Outgoing {
-        let mut ping = self.datagram(peer::DatagramKind::Ping, number, target);
-        self.fill(now, &mut ping, target, show_me);
-        Outgoing { to, datagram: ping }
-    }
-
-    /// Fills the digest for `receiver`: what concerns the two, membership news, samples, other news.
-    fn fill(
-        &mut self,
-        now: Duration,
-        datagram: &mut peer::Datagram,
-        receiver: id::NodeId,
-        show_me: bool,
-    ) {
-        let nodes = self.table.running().count() + 1;
-        let limit = broadcast::tellings(nodes);
-        let digest = datagram.digest.get_or_insert_default();
-        let mut room = Room { left_bytes: self.config.datagram_bytes - ENVELOPE_BYTES };
-        if show_me {
-            room.add(digest, self.me.clone());
-            self.table.broadcasts.count(self.me.node, limit);
-        }
-        if self.table.get(receiver).is_some_and(|known| known.state != State::Alive) {
-            digest.members.extend(self.table.news_of(receiver).filter(|news| room.takes(news)));
-        }
-        for node in self.table.broadcasts.order() {
-            if digest.members.iter().any(|member| member.node == node) {
-                continue;
-            }
-            let Some(news) = self.news_of(node) else {
-                self.table.broadcasts.remove(node);
-                continue;
-            };
-            if !room.add(digest, news) {
-                break;
-            }
-            self.table.broadcasts.count(node, limit);
-        }
-        self.add_samples(digest, &mut room);
-        let used_bytes = digest.encoded_len() + ENVELOPE_BYTES;
-        let budget_bytes = self.config.news_bytes.saturating_sub(used_bytes);
-        self.news.fill(now, digest, budget_bytes, limit);
-    }
-
-    fn add_samples(&mut self, digest: &mut peer::Digest, room: &mut Room) {
-        for _ in 0..self.config.sampled_members {
-            let me = self.me.node;
-            let table = &self.table;
-            let is_alive = |node| table.get(node).is_some_and(|known| known.state == State::Alive);
-            let all = || {
-                let running = table.running().map(|known| known.record.node);
-                running.chain([me]).collect::<Vec<_>>()
-            };
-            let Some(node) =
-                self.sample_round.next(all, |node| node == me || is_alive(node), &mut self.rng)
-            else {
-                return;
-            };
-            let told = digest.members.iter().any(|member| member.node == node);
-            if let Some(news) = self.news_of(node).filter(|_| !told) {
-                room.add(digest, news);
-            }
-        }
-    }
-
-    fn news_of(&self, node: id::NodeId) -> Option<peer::Member> {
-        if node == self.me.node { Some(self.me.clone()) } else { self.table.news_of(node) }
-    }
-}
-
-/// Room left in a datagram.
-struct Room {
-    left_bytes: usize,
-}
-
-impl Room {
-    /// Takes the bytes of `news`, if there is room for them.
-    fn takes(&mut self, news: &peer::Member) -> bool {
-        let bytes = digest::nested_bytes(news.encoded_len());
-        let fits = bytes <= self.left_bytes;
-        if fits {
-            self.left_bytes -= bytes;
-        }
-        fits
-    }
-
-    fn add(&mut self, digest: &mut peer::Digest, news: peer::Member) -> bool {
-        let fits = self.takes(&news);
-        if fits {
-            digest.members.push(news);
-        }
-        fits
-    }
 }
--- a/rhubarbrock/tests/membership.rs
+++ b/rhubarbrock/tests/membership.rs
@@ -251,3 +251,36 @@
         assert!(before == 9 || before == after);
     }
 }
+
+#[test]
+fn other_news_is_told_while_many_nodes_join() {
+    let mut fleet = Fleet::new(2, 1, Faults::none());
+    let mut digest = peer::Digest::default();
+    for index in 0..60 {
+        digest.members.push(network::record(10 + index, 1_000 + index as u64, 1));
+    }
+    let mut ping = fleet.ping_from(1, 0);
+    ping.digest = Some(digest);
+    fleet.deliver(0, fleet.address(1), &ping);
+    fleet.observe_load(0, 70, 1);
+    let now = fleet.now();
+    let sent = fleet.node(0).tick(now);
+    let digests: Vec<_> = sent.iter().filter_map(|out| out.datagram.digest.as_ref()).collect();
+    assert!(digests.iter().any(|digest| digest.members.len() > 4), "{digests:?}");
+    assert!(digests.iter().any(|digest| digest.loads.len() == 1), "{digests:?}");
+}
+
+#[test]
+fn a_load_that_changes_often_is_told_afresh_only_now_and_then() {
+    let mut news = digest::News::new(100);
+    let mut tell = |sequence, now| {
+        let load = peer::EndpointLoad { endpoint: 1, sequence, ..Default::default() };
+        assert!(news.put(now, digest::Item::Load(load)));
+        let mut digest = peer::Digest::default();
+        news.fill(now, &mut digest, 1_000, 1);
+        digest.loads.first().map(|load| load.sequence)
+    };
+    assert_eq!(tell(1, Duration::ZERO), Some(1));
+    assert_eq!(tell(2, digest::SPACING_PER_LOAD / 2), None);
+    assert_eq!(tell(3, digest::SPACING_PER_LOAD), Some(3));
+}
--- a/rhubarbrock/tests/network/mod.rs
+++ b/rhubarbrock/tests/network/mod.rs
@@ -62,7 +62,7 @@
     SocketAddr::from(([10, 0, (node / 250) as u8, (node % 250) as u8 + 1], 7_000))
 }
 
-fn record(node: usize, id: u64, started_at_ms: u64) -> peer::Member {
+pub(crate) fn record(node: usize, id: u64, started_at_ms: u64) -> peer::Member {
     peer::Member {
         node: id,
         name: format!("node-{node}"),
@@ -71,6 +71,7 @@
         peer_address: address_of(node).to_string(),
         caller_address: address_of(node).to_string(),
         started_at_ms,
+        state: peer::MemberState::Alive.into(),
         ..Default::default()
     }
 }
