Prove failures with real processes

Change: rhubarbrockd/tests/process.rs starts three daemons between stand-ins that run inside the test. It checks answers by id on every node and by their own organisation only; SIGKILL, reclaim of one and of two data centres under streams, byte for byte against the undisturbed answer; SIGTERM under streams and orders; orders under SIGKILL, SIGSTOP/SIGCONT, lost append answers, log outage and one key on two nodes; leaving endpoints within 3 s while the list is down; a note within 4 s; a start in an outage. At most three paths run at once. Ruled out: counting a key's run against a call told 'not run' where another call with the key ran later; the check counts runs against the calls that were told something else, which holds for each call. No mutants were run.

--- /dev/null
+++ b/rhubarbrockd/tests/path/calls.rs
@@ -0,0 +1,205 @@
+//! Calls as callers make them.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use serde_json::{Value, json};
+use standins::http;
+use standins::text::Answer;
+
+use super::LIMIT;
+
+/// Header with the key of the example's first organisation.
+pub(crate) const KEY: (&str, &str) = ("authorization", "Bearer demo-key");
+/// Header with the key of the example's second organisation.
+pub(crate) const OTHER_KEY: (&str, &str) = ("authorization", "Bearer other-key");
+
+/// Answer to a call.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl Reply {
+    /// The body as JSON, null if it is none.
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// A header's text, empty if it is missing.
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.headers.get(name).and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+
+    /// The request's id.
+    pub(crate) fn request_id(&self) -> &str {
+        self.header("x-request-id")
+    }
+
+    /// The outcome that the caller is told: `answered`, `not_run` or `in_doubt`.
+    pub(crate) fn outcome(&self) -> &str {
+        self.header("x-outcome")
+    }
+}
+
+/// Makes a call; none if the connection is refused or cut.
+pub(crate) async fn call(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> Option<Reply> {
+    let response = open(address, method, path, headers, body).await?;
+    let (parts, body) = response.into_parts();
+    let collected = tokio::time::timeout(LIMIT, body.collect()).await;
+    let body = collected.expect("the body ends in time").ok()?.to_bytes();
+    Some(Reply { status: parts.status, headers: parts.headers, body })
+}
+
+/// Makes a call and returns once its head is there; none if the connection is refused or cut.
+pub(crate) async fn open(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> Option<Response<Incoming>> {
+    let mut request = Request::builder().method(method).uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    let bytes = if body.is_null() { Bytes::new() } else { Bytes::from(body.to_string()) };
+    let request = request.body(Full::new(bytes)).expect("the call is well formed");
+    let called = tokio::time::timeout(LIMIT, http::client().request(request)).await;
+    called.expect("the call is answered in time").ok()
+}
+
+/// Posts as the first organisation.
+pub(crate) async fn post(address: SocketAddr, path: &str, body: &Value) -> Option<Reply> {
+    call(address, "POST", path, &[KEY, ("content-type", "application/json")], body).await
+}
+
+/// Posts an order as the first organisation, under an idempotency key.
+pub(crate) async fn order(address: SocketAddr, key: &str) -> Option<Reply> {
+    let headers = [KEY, ("idempotency-key", key), ("content-type", "application/json")];
+    let body = json!({ "item": "gourd", "count": 12 });
+    call(address, "POST", "/v1/services/order-desk/orders", &headers, &body).await
+}
+
+/// A chat request and what its answer must be.
+#[derive(Debug, Clone)]
+pub(crate) struct Guide {
+    pub(crate) body: Value,
+    pub(crate) answer: String,
+}
+
+/// A streamed request for a guide about `subject`, of `tokens` tokens.
+pub(crate) fn guide(subject: &str, tokens: u32) -> Guide {
+    let content = format!("Write a guide about {subject}.");
+    let answer = Answer::new(&format!("user\n{content}\n"), Some(tokens), 0);
+    let body = json!({
+        "model": "guide-writers",
+        "stream": true,
+        "max_tokens": tokens,
+        "messages": [{ "role": "user", "content": content }],
+    });
+    Guide { body, answer: answer.text(0, tokens) }
+}
+
+/// What has come of a stream.
+#[derive(Debug, Default, Clone)]
+pub(crate) struct Received {
+    pub(crate) request_id: String,
+    pub(crate) text: String,
+    pub(crate) last_event_id: String,
+    pub(crate) is_complete: bool,
+}
+
+/// A stream that is being read.
+pub(crate) struct Stream {
+    body: Incoming,
+    rest: String,
+    pub(crate) received: Received,
+}
+
+/// Starts a streamed request on a node; none if it is refused.
+pub(crate) async fn stream(node: SocketAddr, guide: &Guide) -> Option<Stream> {
+    let headers = [KEY, ("content-type", "application/json")];
+    let response = open(node, "POST", "/v1/chat/completions", &headers, &guide.body).await?;
+    Stream::of(response)
+}
+
+/// Attaches to a request on any node, after the event that came last.
+pub(crate) async fn attach(node: SocketAddr, received: &Received) -> Option<Stream> {
+    let path = format!("/v1/requests/{}", received.request_id);
+    let mut headers = vec![KEY, ("accept", "text/event-stream")];
+    if !received.last_event_id.is_empty() {
+        headers.push(("last-event-id", &received.last_event_id));
+    }
+    let response = open(node, "GET", &path, &headers, &Value::Null).await?;
+    let mut stream = Stream::of(response)?;
+    stream.received = received.clone();
+    Some(stream)
+}
+
+impl Stream {
+    fn of(response: Response<Incoming>) -> Option<Stream> {
+        if response.status() != StatusCode::OK {
+            return None;
+        }
+        let id = response.headers().get("x-request-id")?.to_str().ok()?.to_owned();
+        let received = Received { request_id: id, ..Received::default() };
+        Some(Stream { body: response.into_body(), rest: String::new(), received })
+    }
+
+    /// Reads until `bytes` of text are there; false if the stream ends or breaks before.
+    pub(crate) async fn read(&mut self, bytes: usize) -> bool {
+        while self.received.text.len() < bytes {
+            if !self.read_frame().await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Reads until the stream ends or breaks.
+    pub(crate) async fn read_to_end(mut self) -> Received {
+        while self.read_frame().await {}
+        self.received
+    }
+
+    async fn read_frame(&mut self) -> bool {
+        let frame = tokio::time::timeout(LIMIT, self.body.frame()).await;
+        let Some(Ok(frame)) = frame.expect("the stream goes on in time") else { return false };
+        let Ok(bytes) = frame.into_data() else { return true };
+        self.rest.push_str(std::str::from_utf8(&bytes).expect("events are UTF-8"));
+        while let Some(end) = self.rest.find("\n\n") {
+            let event: String = self.rest.drain(..end + 2).collect();
+            self.take(&event);
+        }
+        true
+    }
+
+    fn take(&mut self, event: &str) {
+        for line in event.lines() {
+            if let Some(id) = line.strip_prefix("id: ") {
+                self.received.last_event_id = id.to_owned();
+            }
+            let Some(data) = line.strip_prefix("data: ") else { continue };
+            if data == "[DONE]" {
+                self.received.is_complete = true;
+                continue;
+            }
+            let chunk: Value = serde_json::from_str(data).unwrap_or_default();
+            let choice = &chunk["choices"][0];
+            let text = choice["delta"]["content"].as_str().or(choice["text"].as_str());
+            self.received.text.push_str(text.unwrap_or_default());
+        }
+    }
+}
--- /dev/null
+++ b/rhubarbrockd/tests/path/mod.rs
@@ -0,0 +1,384 @@
+//! The whole path for one test: real `rhubarbrockd` processes between this test's calls and
+//! stand-ins that run inside the test.
+
+#![allow(dead_code)]
+
+pub(crate) mod calls;
+
+use std::net::{SocketAddr, TcpListener as StdListener, UdpSocket};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use rhubarbrock::note;
+use rhubarbrock::publisher::{Append, Outcome, Publisher, Step};
+use rhubarbrock::release::{self, ReleaseLog};
+use serde_json::{Value, json};
+use standins::desk::Desk;
+use standins::fleet::{Instance, State};
+use standins::platform::{Faults, Platform};
+use standins::registration::Registration;
+use standins::replica::{self, Replica};
+use standins::{engine, engines, http};
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, SemaphorePermit, watch};
+
+use calls::call;
+
+/// The example note of the gourd cooperative.
+const NOTE: &str = include_str!("../../../examples/gourd.release.toml");
+
+/// Data centres of the nodes, in order; engines and desk replicas take turns.
+pub(crate) const DATA_CENTRES: [&str; 3] = ["berkshire", "merrimack", "narragansett"];
+
+/// Longest time for anything that a test waits for.
+pub(crate) const LIMIT: Duration = Duration::from_secs(60);
+
+/// Time between looks at what a test waits for.
+const POLL: Duration = Duration::from_millis(25);
+
+/// Replicas of the model service.
+const ENGINES: u64 = 6;
+
+/// Replicas of the desk.
+const DESKS: u64 = 3;
+
+/// Ports below the range from which the kernel picks those of outgoing connections.
+const FIRST_PORT: u32 = 12_000;
+const PORTS: u32 = 18_000;
+
+/// Paths at once, so that tests do not slow each other down.
+static PLACES: Semaphore = Semaphore::const_new(3);
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// One node's process; it is killed when dropped.
+pub(crate) struct Node {
+    child: Child,
+    pub(crate) caller: SocketAddr,
+}
+
+/// The stand-ins and nodes of one test.
+pub(crate) struct Path {
+    pub(crate) platform: SocketAddr,
+    pub(crate) engines: Vec<SocketAddr>,
+    pub(crate) desk: SocketAddr,
+    pub(crate) nodes: Vec<Node>,
+    peers: Vec<SocketAddr>,
+    _stop: watch::Sender<u64>,
+    _place: SemaphorePermit<'static>,
+}
+
+impl Path {
+    /// Starts the stand-ins and three nodes, publishes the note and waits until the nodes are
+    /// ready and know of the endpoints.
+    pub(crate) async fn start() -> Path {
+        Path::start_with(engine::Settings::default()).await
+    }
+
+    /// Like `start`, with engines of the given speed and memory.
+    pub(crate) async fn start_with(engine: engine::Settings) -> Path {
+        let place = PLACES.acquire().await.expect("the semaphore is never closed");
+        let stop = watch::Sender::new(0);
+        let callers: Vec<SocketAddr> = DATA_CENTRES.iter().map(|_| free_address()).collect();
+        let peers: Vec<SocketAddr> = DATA_CENTRES.iter().map(|_| free_address()).collect();
+        let platform = start_platform(&callers, &peers, &stop).await;
+        let engines = start_engines(platform, engine).await;
+        let desk = start_desk(platform, &stop).await;
+        publish(platform, NOTE).await;
+        let nodes = Vec::new();
+        let mut path = Path { platform, engines, desk, nodes, peers, _stop: stop, _place: place };
+        for (index, caller) in callers.into_iter().enumerate() {
+            let node = path.start_node(index, caller);
+            path.nodes.push(node);
+        }
+        for node in &path.nodes {
+            node.wait_until_ready().await;
+        }
+        path.wait_until_served().await;
+        path
+    }
+
+    /// Starts the process of the node at `index`.
+    pub(crate) fn start_node(&self, index: usize, caller: SocketAddr) -> Node {
+        let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
+            .args(["--name", &format!("node-{}", index + 1)])
+            .args(["--data-centre", DATA_CENTRES[index], "--region", "new-england"])
+            .args(["--instance", &(index + 1).to_string()])
+            .args(["--caller-address", &caller.to_string()])
+            .args(["--peer-address", &self.peers[index].to_string()])
+            .args(["--platform-url", &format!("http://{}", self.platform)])
+            .args(["--log-level", "warning"])
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("rhubarbrockd starts");
+        Node { child, caller }
+    }
+
+    /// Kills the node at `index` and starts it again with the same addresses.
+    pub(crate) fn restart_node(&mut self, index: usize) {
+        let caller = self.nodes[index].caller;
+        self.nodes[index].kill();
+        let node = self.start_node(index, caller);
+        self.nodes[index] = node;
+    }
+
+    /// Puts faults of the platform in force.
+    pub(crate) async fn set_platform(&self, faults: Value) {
+        let reply = call(self.platform, "POST", "/faults", &[], &faults).await;
+        assert_eq!(reply.expect("platform answers").status, 200);
+    }
+
+    /// Puts faults of all desk replicas in force.
+    pub(crate) async fn set_desk(&self, mut faults: Value) {
+        faults["all"] = json!(true);
+        let reply = call(self.desk, "POST", "/faults", &[], &faults).await;
+        assert_eq!(reply.expect("desk answers").status, 200);
+    }
+
+    /// How often the desk ran the call with this key.
+    pub(crate) async fn runs(&self, key: &str) -> u64 {
+        let reply = call(self.desk, "GET", "/runs", &[], &Value::Null).await;
+        reply.expect("desk answers").json()[key].as_u64().unwrap_or(0)
+    }
+
+    /// Waits until the desk ran the call with this key.
+    pub(crate) async fn wait_for_run(&self, key: &str) {
+        wait_until("the desk has run the call", async || self.runs(key).await > 0).await;
+    }
+
+    /// Sum of a counter over all engine replicas that answer.
+    pub(crate) async fn engine_total(&self, counter: &str) -> u64 {
+        let mut total = 0;
+        for counters in self.engine_counters().await {
+            total += counters[counter].as_u64().unwrap_or(0);
+        }
+        total
+    }
+
+    /// Counters of the engine replicas that answer.
+    pub(crate) async fn engine_counters(&self) -> Vec<Value> {
+        let mut all = Vec::new();
+        for &address in &self.engines {
+            if let Some(reply) = call(address, "GET", "/counters", &[], &Value::Null).await {
+                all.push(reply.json());
+            }
+        }
+        all
+    }
+
+    /// Each node has an answer for both services: its list has come and its peers are known.
+    async fn wait_until_served(&self) {
+        for node in &self.nodes {
+            let text = json!({ "model": "guide-writers", "prompt": "warm", "max_tokens": 1 });
+            wait_until("a model request is answered", async || {
+                let reply = calls::post(node.caller, "/v1/completions", &text).await;
+                reply.is_some_and(|reply| reply.status == 200)
+            })
+            .await;
+            wait_until("the desk is reached", async || {
+                let stock = "/v1/services/order-desk/stock/gourd";
+                let reply = call(node.caller, "GET", stock, &[calls::KEY], &Value::Null).await;
+                reply.is_some_and(|reply| reply.status == 200)
+            })
+            .await;
+            wait_until("the peers are known", async || {
+                let reply = call(node.caller, "GET", "/v1/status", &[], &Value::Null).await;
+                let status = reply.map(|reply| reply.json()).unwrap_or_default();
+                status["peers_alive"].as_u64() >= Some(self.nodes.len() as u64 - 1)
+            })
+            .await;
+        }
+    }
+}
+
+impl Node {
+    /// SIGKILL, and waits for the end.
+    pub(crate) fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal by name, such as `STOP`.
+    pub(crate) fn signal(&self, name: &str) {
+        let command = format!("kill -{name} {}", self.child.id());
+        let status = Command::new("sh").args(["-c", &command]).status();
+        assert!(status.expect("sh is there").success(), "{command}");
+    }
+
+    /// Whether the process has ended, and how.
+    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().expect("a child can be asked")
+    }
+
+    /// Waits until the process has ended by itself.
+    pub(crate) async fn wait_for_end(&mut self) -> ExitStatus {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self.ended() {
+                return status;
+            }
+            assert!(started.elapsed() < LIMIT, "node does not end");
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Waits until the node says that it takes requests.
+    pub(crate) async fn wait_until_ready(&self) {
+        wait_until("the node is ready", async || {
+            let reply = call(self.caller, "GET", "/readyz", &[], &Value::Null).await;
+            reply.is_some_and(|reply| reply.status == 200)
+        })
+        .await;
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Waits until `is_so` holds; fails after the limit.
+pub(crate) async fn wait_until(what: &str, is_so: impl AsyncFn() -> bool) {
+    let started = Instant::now();
+    while !is_so().await {
+        assert!(started.elapsed() < LIMIT, "it does not come to pass that {what}");
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+async fn start_platform(
+    callers: &[SocketAddr],
+    peers: &[SocketAddr],
+    stop: &watch::Sender<u64>,
+) -> SocketAddr {
+    let entry = |index: usize| Instance {
+        id: index as u64 + 1,
+        kind: "entry".to_owned(),
+        data_centre: DATA_CENTRES[index].to_owned(),
+        class: "general".to_owned(),
+        market: "reclaimable".to_owned(),
+        address: callers[index].to_string(),
+        peer_address: peers[index].to_string(),
+        ..Instance::default()
+    };
+    let instances = (0..callers.len()).map(entry).collect();
+    let listener = http::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let faults = Faults { list_lag_ms: 300, ..Faults::default() };
+    tokio::spawn(Platform::new(1, faults, instances).serve(listener, stop.subscribe()));
+    address
+}
+
+async fn start_engines(platform: SocketAddr, engine: engine::Settings) -> Vec<SocketAddr> {
+    let (listeners, instances) = endpoints("endpoint", "guide-writers", 100, ENGINES).await;
+    let replica = |instance: &Instance| {
+        Arc::new(Replica::new(replica::Settings {
+            instance: instance.clone(),
+            poison: "<<poison>>".to_owned(),
+            checks_fencing: true,
+            model: "guide-7b".to_owned(),
+            seed: 1,
+            engine: engine.clone(),
+        }))
+    };
+    let replicas = instances.iter().map(replica).collect();
+    let registration = Registration::new(&format!("http://{platform}"));
+    let settings =
+        engines::Settings { restart: Duration::from_millis(500), kv_bytes_per_token: 64 };
+    let group = engines::Group::new(settings, replicas, Some(registration.clone()));
+    let addresses = listeners.iter().map(|l| l.local_addr().unwrap()).collect();
+    tokio::spawn(group.clone().serve(listeners));
+    let notices = registration.register(&instances).await.unwrap();
+    tokio::spawn(group.follow(notices));
+    addresses
+}
+
+async fn start_desk(platform: SocketAddr, stop: &watch::Sender<u64>) -> SocketAddr {
+    let (listeners, instances) = endpoints("desk", "order-desk", 200, DESKS).await;
+    let address = listeners[0].local_addr().unwrap();
+    let desk = Desk::new(instances.clone(), true, 1);
+    tokio::spawn(desk.clone().serve(listeners, stop.subscribe()));
+    let registration = Registration::new(&format!("http://{platform}"));
+    let notices = registration.register(&instances).await.unwrap();
+    tokio::spawn(desk.follow(notices));
+    address
+}
+
+async fn endpoints(
+    kind: &str,
+    service: &str,
+    first_id: u64,
+    count: u64,
+) -> (Vec<TcpListener>, Vec<Instance>) {
+    let mut listeners = Vec::new();
+    let mut instances = Vec::new();
+    for index in 0..count {
+        let listener = http::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await.unwrap();
+        instances.push(Instance {
+            id: first_id + index,
+            kind: kind.to_owned(),
+            data_centre: DATA_CENTRES[index as usize % DATA_CENTRES.len()].to_owned(),
+            class: "accelerator-small".to_owned(),
+            market: "reclaimable".to_owned(),
+            state: State::Live,
+            service: service.to_owned(),
+            address: listener.local_addr().unwrap().to_string(),
+            ..Instance::default()
+        });
+        listeners.push(listener);
+    }
+    (listeners, instances)
+}
+
+/// Publishes a note and returns its version.
+pub(crate) async fn publish(platform: SocketAddr, note: &str) -> u64 {
+    let parsed = note::read(note);
+    let mut publisher = Publisher::new(parsed, "test".to_owned(), rand::random());
+    let mut log = ReleaseLog::new();
+    loop {
+        match publisher.next(&log) {
+            Step::Done(Outcome::InForce { version }) => return version,
+            Step::Done(outcome) => panic!("{outcome}"),
+            Step::Read => {
+                read_to_end(platform, &mut log).await;
+                publisher.read_to_end();
+            }
+            Step::Append(record) => {
+                let body = json!({ "records": [STANDARD.encode(record)] });
+                let path = format!("/log/{}/records", release::TOPIC);
+                let reply = call(platform, "POST", &path, &[], &body).await;
+                let offset = reply.filter(|reply| reply.status == 200);
+                let offset = offset.and_then(|reply| reply.json()["first_offset"].as_u64());
+                publisher.appended(offset.map_or(Append::Unknown, Append::At));
+            }
+        }
+    }
+}
+
+async fn read_to_end(platform: SocketAddr, log: &mut ReleaseLog) {
+    let from = log.next_offset();
+    let path = format!("/log/{}/records?from={from}&max=1000", release::TOPIC);
+    let reply = call(platform, "GET", &path, &[], &Value::Null).await.expect("platform answers");
+    for record in reply.json()["records"].as_array().into_iter().flatten() {
+        let data = STANDARD.decode(record["data"].as_str().unwrap()).unwrap();
+        log.apply(record["offset"].as_u64().unwrap(), &data);
+    }
+}
+
+/// An address whose TCP and UDP port are free.
+fn free_address() -> SocketAddr {
+    loop {
+        let offset =
+            std::process::id().wrapping_mul(61) + NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        let port = (FIRST_PORT + offset % PORTS) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if StdListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
