Take over the policy's key life, and wait for a second node before taking requests

An expired key was told as not run, though nobody knows of earlier calls with it any more: it is in doubt. The key life of the release in force was never set. A node that had just started took requests before it knew another node, so they had one copy; it now waits up to 3 s for one.

--- a/rhubarbrock/src/node.rs
+++ b/rhubarbrock/src/node.rs
@@ -149,6 +149,7 @@
     /// What to do first.
     pub fn start(&mut self, now: Duration, wall: Duration) -> Vec<action::Action> {
         self.set_time(now, wall);
+        self.platform.started_at = now;
         for topic in [event::Topic::Release, event::Topic::Claims] {
             self.act(action::Action::ReadFrom { topic, offset: 1 });
         }
--- a/rhubarbrock/src/node_plain.rs
+++ b/rhubarbrock/src/node_plain.rs
@@ -398,9 +398,11 @@
                 self.tell_plain(call, kind, detail, action::Outcome::NotRun, None);
             }
             claim::Conclusion::KeyExpired => {
-                let detail = "the idempotency key is past its life".to_owned();
+                let detail = "the idempotency key is past its life, and earlier calls with it are \
+                              not known any more; this one was not sent"
+                    .to_owned();
                 let kind = action::RefusalKind::KeyExpired;
-                self.tell_plain(call, kind, detail, action::Outcome::NotRun, None);
+                self.tell_plain(call, kind, detail, action::Outcome::InDoubt, None);
             }
         }
     }
--- a/rhubarbrock/src/node_platform.rs
+++ b/rhubarbrock/src/node_platform.rs
@@ -9,6 +9,9 @@
 use crate::node::{MAX_BEHIND, Node};
 use crate::{action, claim, defaults, digest, endpoint, event, id, release, snapshot, watch};
 
+/// Time that a new node waits for another before it takes requests that only it has a copy of.
+const JOIN_GRACE: Duration = Duration::from_secs(3);
+
 /// What an append was for.
 #[derive(Debug, Clone, Copy)]
 enum Purpose {
@@ -29,6 +32,7 @@
     pub(crate) release_oldest: id::Offset,
     pub(crate) release_end: id::Offset,
     pub(crate) behind_since: Option<Duration>,
+    pub(crate) started_at: Duration,
     pub(crate) is_fetching: bool,
     pub(crate) next_fetch: Duration,
     pub(crate) fetches: u64,
@@ -149,6 +153,8 @@
         self.organisations = organisations(&release);
         self.services = release.services.iter().map(|s| (s.name.clone(), s.clone())).collect();
         self.dispatcher.on_release(&release);
+        let key_life = Duration::from_secs(u64::from(self.policy.idempotency_key_life_s));
+        self.claims.set_key_life(key_life);
         self.retries.set_percent(self.policy.retry_percent);
         self.quarantine.set_policy(
             self.policy.quarantine_after_crashes as usize,
@@ -167,7 +173,12 @@
     }
 
     pub(crate) fn settle_readiness(&mut self) {
-        let is_ready = self.log.release().is_some() && !self.is_behind() && !self.is_leaving();
+        let has_joined =
+            self.peers_alive() > 0 || self.now > self.platform.started_at + JOIN_GRACE;
+        let is_ready = self.log.release().is_some()
+            && has_joined
+            && !self.is_behind()
+            && !self.is_leaving();
         if is_ready != self.is_ready {
             self.is_ready = is_ready;
             self.act(action::Action::SetReady(is_ready));
