Mend what the world of whole nodes found

One watcher is now of another data centre.

Ruled out: taking crashes out of the world, since a second one on the same request is what poison looks like to a node.

--- a/bench/src/soak.rs
+++ b/bench/src/soak.rs
@@ -94,10 +94,11 @@
         println!("nodes: {} seeds, {} events, 0 violations", self.seeds, total.events);
         println!("  faults {}, requests adopted {}", total.faults, total.adopted);
         println!(
-            "  requests {}, accepted {}, answered in full {}, longest {} ms",
+            "  requests {}, accepted {}, answered in full {}, given up {}, longest {} ms",
             total.asked,
             total.accepted,
             total.answered,
+            total.given_up,
             total.longest.as_millis()
         );
         println!(
--- a/proofs/src/node_faults.rs
+++ b/proofs/src/node_faults.rs
@@ -132,6 +132,7 @@
     let data_centre = world.rng.random_range(0..DATA_CENTRES);
     let notice = Duration::from_millis(world.rng.random_range(4_000..12_000));
     let leave_at = world.now + notice;
+    world.quiet_until = leave_at + UNANNOUNCED_GAP;
     let mut notices = Vec::new();
     let now = world.now;
     for engine in world.engines.values_mut() {
--- a/proofs/src/node_io.rs
+++ b/proofs/src/node_io.rs
@@ -400,7 +400,9 @@
         };
         let is_up = self.engines.get(&endpoint).is_some_and(|engine| engine.is_up(self.now));
         if !is_up {
-            self.slots[slot].attempts.remove(&attempt);
+            if let Some(broken) = self.slots[slot].attempts.remove(&attempt) {
+                *self.broken.entry(broken.request).or_default() += 1;
+            }
             let end = event::ModelEnd::Broken { message: "connection reset".to_owned() };
             let told = event::EndpointEvent::ModelEnded { attempt, end };
             return self.deliver(slot, process, event::Event::Endpoint(told));
--- a/proofs/src/node_world.rs
+++ b/proofs/src/node_world.rs
@@ -11,7 +11,8 @@
 //! - the release in force at a node never goes back.
 //!
 //! And at the end, after a time without faults, that every accepted request is
-//! answered in full.
+//! answered in full; only one that ran at two crashes of endpoints, as a poison
+//! request does, may be given up.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -100,6 +101,8 @@
     pub orders_not_run: u64,
     /// Orders told as in doubt.
     pub orders_in_doubt: u64,
+    /// Accepted model requests given up because endpoints crashed with them.
+    pub given_up: u64,
     /// Requests adopted.
     pub adopted: u64,
     /// Faults injected.
@@ -164,6 +167,8 @@
     pub(crate) storm_over: bool,
     pub(crate) quiet_until: Duration,
     pub(crate) report: Report,
+    /// Attempts that broke off, by request.
+    pub(crate) broken: BTreeMap<id::RequestId, u32>,
 }
 
 /// Runs one world to its end.
@@ -184,6 +189,7 @@
         self.orders_answered += other.orders_answered;
         self.orders_not_run += other.orders_not_run;
         self.orders_in_doubt += other.orders_in_doubt;
+        self.given_up += other.given_up;
         self.adopted += other.adopted;
         self.faults += other.faults;
         self.generated_tokens += other.generated_tokens;
@@ -214,6 +220,7 @@
             storm_over: false,
             quiet_until: Duration::ZERO,
             report: Report::default(),
+            broken: BTreeMap::new(),
             options,
         };
         world.set_up();
@@ -312,6 +319,9 @@
     }
 
     pub(crate) fn start(&mut self, slot: usize) -> Result<(), Violation> {
+        if self.slots[slot].is_running() {
+            return Ok(());
+        }
         let instance = self.new_instance();
         let config = node_setup::config(slot, instance, self.rng.random(), WALL + self.now);
         let process = config.node;
--- a/rhubarbrock/src/membership.rs
+++ b/rhubarbrock/src/membership.rs
@@ -272,6 +272,8 @@
         for member in &digest.members {
             if member.node == self.me.node {
                 self.refute(member);
+            } else if member.datagram_address == self.me.datagram_address {
+                // At this node's own address only an earlier process can be meant.
             } else if !self.table.apply(now, member, sender) {
                 // Others tell it as well, so this node need not tell it as often.
                 self.table.broadcasts.count(member.node, limit);
--- a/rhubarbrock/src/node.rs
+++ b/rhubarbrock/src/node.rs
@@ -12,8 +12,8 @@
 
 use crate::{
     action, claim, counter, custody, dispatch, drain, event, fairness, id, membership,
-    node_custody, node_model, node_plain, node_platform, placement, quarantine, release, retry,
-    snapshot, timeline,
+    node_custody, node_model, node_plain, node_platform, node_poison, placement, quarantine,
+    release, retry, snapshot, timeline,
 };
 
 /// Time that a node may serve by a release after it heard of a higher version.
@@ -253,6 +253,12 @@
                 return;
             }
             self.delayed.remove(&(due, ticket));
+            if let Some(Work::Model(request)) = self.work.get(&ticket).copied()
+                && self.is_quarantined(self.models[&request].record.fingerprint)
+            {
+                self.fail_model(request, node_poison::POISON.to_owned());
+                continue;
+            }
             let exclude = match self.work.get(&ticket) {
                 Some(Work::Model(request)) => {
                     let held = &self.models[request];
--- a/rhubarbrock/src/node_peer.rs
+++ b/rhubarbrock/src/node_peer.rs
@@ -180,6 +180,12 @@
         }
     }
 
+    /// Whether a node of another data centre is known, which can keep copies.
+    pub(crate) fn knows_other_data_centre(&self) -> bool {
+        let mut running = self.membership.running();
+        running.any(|known| known.record.data_centre != self.config.data_centre)
+    }
+
     pub(crate) fn peers_alive(&self) -> usize {
         self.membership.running().count()
     }
--- a/rhubarbrock/src/node_platform.rs
+++ b/rhubarbrock/src/node_platform.rs
@@ -9,7 +9,7 @@
 use crate::node::{MAX_BEHIND, Node};
 use crate::{action, claim, defaults, digest, endpoint, event, id, release, snapshot, watch};
 
-/// Time that a new node waits for another before it takes requests that only it has a copy of.
+/// Time that a new node waits for one of another data centre before it takes requests.
 const JOIN_GRACE: Duration = Duration::from_secs(3);
 
 /// What an append was for.
@@ -173,12 +173,10 @@
     }
 
     pub(crate) fn settle_readiness(&mut self) {
-        let has_joined =
-            self.peers_alive() > 0 || self.now > self.platform.started_at + JOIN_GRACE;
-        let is_ready = self.log.release().is_some()
-            && has_joined
-            && !self.is_behind()
-            && !self.is_leaving();
+        let is_alone_for_long = self.now > self.platform.started_at + JOIN_GRACE;
+        let has_joined = self.knows_other_data_centre() || is_alone_for_long;
+        let is_ready =
+            self.log.release().is_some() && has_joined && !self.is_behind() && !self.is_leaving();
         if is_ready != self.is_ready {
             self.is_ready = is_ready;
             self.act(action::Action::SetReady(is_ready));
--- a/rhubarbrock/src/node_poison.rs
+++ b/rhubarbrock/src/node_poison.rs
@@ -10,6 +10,9 @@
 /// Broken connections to one endpoint within this time are one crash.
 const CRASH_WINDOW: Duration = Duration::from_millis(1_000);
 
+/// Shown where a request is given up because of the endpoints that it crashed.
+pub(crate) const POISON: &str = "the request crashed the endpoints that ran it";
+
 impl Node {
     /// Refuses a request that crashed endpoints before; true where it did.
     pub(crate) fn refuse_quarantined(
@@ -47,6 +50,14 @@
         self.report(action::LogLevel::Warning, "endpoint.crashed", message);
         let found = self.quarantine.on_crash(self.now, endpoint, &running);
         self.quarantine_all(&found);
+        // One that was quarantined while it ran has nothing more to wait for.
+        let again: Vec<id::Fingerprint> = running
+            .into_iter()
+            .filter(|print| !found.contains(print) && self.is_quarantined(*print))
+            .collect();
+        for fingerprint in again {
+            self.fail_quarantined(fingerprint);
+        }
     }
 
     pub(crate) fn on_peer_suspect(&mut self, suspect: peer::Suspect) {
@@ -59,17 +70,26 @@
             self.counters.quarantined += 1;
             let message = format!("fingerprint {fingerprint:016x}");
             self.report(action::LogLevel::Warning, "request.quarantined", message);
-            let waiting: Vec<id::RequestId> = self
-                .models
-                .iter()
-                .filter(|(_, held)| held.ended_at.is_none() && held.attempt.is_none())
-                .filter(|(_, held)| held.record.fingerprint == *fingerprint)
-                .map(|(request, _)| *request)
-                .collect();
-            for request in waiting {
-                let why = "the request crashed the endpoints that ran it".to_owned();
-                self.fail_model(request, why);
-            }
+            self.fail_quarantined(*fingerprint);
+        }
+    }
+
+    pub(crate) fn is_quarantined(&self, fingerprint: id::Fingerprint) -> bool {
+        let standing = self.quarantine.standing(self.now, fingerprint);
+        matches!(standing, quarantine::Standing::Quarantined { .. })
+    }
+
+    /// Ends the requests with this fingerprint that do not run now.
+    fn fail_quarantined(&mut self, fingerprint: id::Fingerprint) {
+        let waiting: Vec<id::RequestId> = self
+            .models
+            .iter()
+            .filter(|(_, held)| held.ended_at.is_none() && held.attempt.is_none())
+            .filter(|(_, held)| held.record.fingerprint == fingerprint)
+            .map(|(request, _)| *request)
+            .collect();
+        for request in waiting {
+            self.fail_model(request, POISON.to_owned());
         }
     }
 
--- a/rhubarbrock/src/watch.rs
+++ b/rhubarbrock/src/watch.rs
@@ -1,5 +1,7 @@
 //! Which nodes watch an endpoint.
 
+use rhubarbrock_schema::peer;
+
 use crate::id;
 use crate::member_table;
 use crate::membership;
@@ -8,10 +10,12 @@
 /// Nodes that watch one endpoint, so that one of them may go.
 pub const WATCHERS: usize = 2;
 
-/// The nodes that watch an endpoint in `data_centre`, best first.
+/// The nodes that watch an endpoint in `data_centre`, nearest first.
 ///
-/// They are nodes of that data centre that don't leave; where it has none, of
-/// its region, if a node of that data centre was ever known; else any.
+/// One is a node of that data centre and one is not, because a data centre's
+/// nodes go with its endpoints. Where there is no such node, both are of the
+/// other kind. Nodes that leave watch nothing. The second is of the same region,
+/// if that region is known and has one.
 pub fn watchers(
     membership: &membership::Membership,
     endpoint: id::EndpointId,
@@ -21,25 +25,23 @@
     let usable =
         |known: &&member_table::Known| known.state != member_table::State::Dead && !known.leaving;
     let mine = (!membership.is_leaving()).then_some(me);
-    let candidates = || {
-        let others = membership.members().filter(usable).map(|known| &known.record);
-        others.chain(mine)
+    let others = membership.members().filter(usable).map(|known| &known.record);
+    let candidates: Vec<&peer::Member> = others.chain(mine).collect();
+    let mut known = membership.members().map(|known| &known.record).chain([me]);
+    let region = known.find(|member| member.data_centre == data_centre).map(|found| &found.region);
+    let rank = |is_wanted: &dyn Fn(&peer::Member) -> bool| {
+        let wanted = candidates.iter().filter(|member| is_wanted(member));
+        rendezvous::rank(endpoint, wanted.map(|member| member.node))
     };
-    let near: Vec<id::NodeId> = candidates()
-        .filter(|member| member.data_centre == data_centre)
-        .map(|member| member.node)
-        .collect();
-    if !near.is_empty() {
-        return rendezvous::top(endpoint, near, WATCHERS);
-    }
-    let mut once = membership.members().map(|known| &known.record);
-    let region = once.find(|member| member.data_centre == data_centre).map(|found| &found.region);
-    let in_region: Vec<id::NodeId> = candidates()
-        .filter(|member| Some(&member.region) == region)
-        .map(|member| member.node)
-        .collect();
-    if !in_region.is_empty() {
-        return rendezvous::top(endpoint, in_region, WATCHERS);
+    let is_near = |member: &peer::Member| member.data_centre == data_centre;
+    let near = rank(&is_near);
+    let mut far = rank(&|member| !is_near(member) && Some(&member.region) == region);
+    if far.is_empty() {
+        far = rank(&|member| !is_near(member));
     }
-    rendezvous::top(endpoint, candidates().map(|member| member.node), WATCHERS)
+    let near_count = if far.is_empty() { WATCHERS } else { 1 };
+    let mut chosen: Vec<id::NodeId> = near.into_iter().take(near_count).collect();
+    let far_count = WATCHERS - chosen.len();
+    chosen.extend(far.into_iter().take(far_count));
+    chosen
 }
