Measure one node's decisions against requests and endpoints

Change: bench node feeds one whole node what its threads would, with a mark each 200 ms, and fits lines.

--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -9,6 +9,7 @@
 mod fit;
 mod fleet;
 mod membership;
+mod node_cost;
 mod outcome;
 mod plot;
 mod policies;
@@ -34,6 +35,7 @@
 #[argh(subcommand)]
 enum Command {
     Soak(soak::Soak),
+    Node(node_cost::NodeCost),
     Policies(policies::Policies),
     Trace(trace::Generate),
     Replay(policies::Replay),
@@ -45,6 +47,7 @@
     let bench: Bench = argh::from_env();
     match bench.command {
         Command::Soak(soak) => soak.run(),
+        Command::Node(node) => node.run(),
         Command::Policies(policies) => policies.run(),
         Command::Trace(generate) => generate.run(),
         Command::Replay(replay) => replay.run(),
--- a/proofs/src/lib.rs
+++ b/proofs/src/lib.rs
@@ -12,13 +12,13 @@
 pub mod fake_engine;
 pub mod fake_node;
 pub mod fake_topics;
+pub mod node_setup;
 pub mod node_world;
 pub mod poison_world;
 
 mod node_callers;
 mod node_faults;
 mod node_io;
-mod node_setup;
 
 use derive_more::{Display, Error};
 
--- a/proofs/src/node_setup.rs
+++ b/proofs/src/node_setup.rs
@@ -12,19 +12,19 @@
 use crate::fake_node::{Slot, address};
 
 /// The organisation that asks.
-pub(crate) const ORGANISATION: &str = "quabbin";
+pub const ORGANISATION: &str = "quabbin";
 
 const KEY: &str = "demo-key";
 const MODEL_SERVICE: &str = "guide-writers";
 const DESK_SERVICE: &str = "order-desk";
 
 /// Digest of the organisation's key.
-pub(crate) fn key_sha256() -> event::Sha256 {
+pub fn key_sha256() -> event::Sha256 {
     Sha256::digest(KEY).into()
 }
 
 /// A log record with the note that brings everything in force.
-pub(crate) fn release_note() -> Vec<u8> {
+pub fn release_note() -> Vec<u8> {
     let model = release::Service {
         name: MODEL_SERVICE.to_owned(),
         kind: release::ServiceKind::Model.into(),
@@ -67,7 +67,7 @@
 }
 
 /// Settings of the process at a place.
-pub(crate) fn config(
+pub fn config(
     slot: usize,
     instance: id::InstanceId,
     random: u64,
@@ -91,17 +91,17 @@
 }
 
 /// Name of a data centre.
-pub(crate) fn data_centre(index: usize) -> String {
+pub fn data_centre(index: usize) -> String {
     format!("dc-{index}")
 }
 
 /// Body of a caller's request.
-pub(crate) fn body(number: usize) -> String {
+pub fn body(number: usize) -> String {
     format!("{{\"messages\":[{{\"role\":\"user\",\"content\":\"tell me of gourd {number}\"}}]}}")
 }
 
 /// A completion asked for.
-pub(crate) fn model_call(
+pub fn model_call(
     call: event::CallId,
     body: String,
     tokens: u32,
@@ -129,7 +129,7 @@
 }
 
 /// An order.
-pub(crate) fn order_call(call: event::CallId, key: String, secret: u128) -> event::CallerEvent {
+pub fn order_call(call: event::CallId, key: String, secret: u128) -> event::CallerEvent {
     event::CallerEvent::Plain(Box::new(event::PlainCall {
         call,
         key_sha256: key_sha256(),
@@ -150,7 +150,7 @@
 }
 
 /// An engine in the list.
-pub(crate) fn endpoint(
+pub fn endpoint(
     engine: &Engine,
     state: event::InstanceState,
     address: SocketAddr,
@@ -169,7 +169,7 @@
 }
 
 /// The desk in the list.
-pub(crate) fn desk(endpoint: id::EndpointId) -> event::Instance {
+pub fn desk(endpoint: id::EndpointId) -> event::Instance {
     event::Instance {
         id: endpoint,
         kind: event::InstanceKind::Endpoint,
@@ -184,7 +184,7 @@
 }
 
 /// A node's instance in the list.
-pub(crate) fn entry(instance: id::InstanceId, slot: usize) -> event::Instance {
+pub fn entry(instance: id::InstanceId, slot: usize) -> event::Instance {
     event::Instance {
         id: instance,
         kind: event::InstanceKind::Entry,
