--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -87,7 +87,7 @@
     /// platform's number of the first replica
     #[argh(option)]
     first_id: u64,
-    /// text that crashes a replica where a prompt holds it (<<poison>>)
+    /// text that crashes a replica where a prompt holds it; `<<poison>>` if not said
     #[argh(option, default = "String::from(\"<<poison>>\")")]
     poison: String,
     /// time that a crashed replica is away, in milliseconds (3000)
