Compare a node's time to first token with the engine's own

Change: load compare sends streamed requests to an engine and through a node in one run and prints both and the node's CPU time. Engines are asked for their load once a second by each watcher: twice a second cost about 3.4 KB/s at two years' size, by message sizes. With more requests at a time the two ways are not comparable: one engine is alone, the node has nine.

--- /dev/null
+++ b/load/src/compare.rs
@@ -0,0 +1,166 @@
+//! `compare`: the node's added time to first token.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use anyhow::ensure;
+use argh::FromArgs;
+use hdrhistogram::Histogram;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::caller;
+
+/// Significant digits of the histograms.
+const DIGITS: u8 = 3;
+
+/// Most requests of one run.
+const MAX_REQUESTS: u32 = 1_000_000;
+
+/// time streamed requests through a node and straight at an engine
+#[derive(FromArgs)]
+#[argh(subcommand, name = "compare")]
+pub(crate) struct Compare {
+    /// IP:port of the node
+    #[argh(option)]
+    node: SocketAddr,
+    /// IP:port of the engine
+    #[argh(option)]
+    engine: SocketAddr,
+    /// bearer key
+    #[argh(option, default = "String::from(\"demo-key\")")]
+    key: String,
+    /// service, as the node calls it
+    #[argh(option, default = "String::from(\"guide-writers\")")]
+    service: String,
+    /// model, as the engine calls it
+    #[argh(option, default = "String::from(\"guide-writers\")")]
+    model: String,
+    /// requests to each
+    #[argh(option, default = "400")]
+    requests: u32,
+    /// requests at a time
+    #[argh(option, default = "4")]
+    concurrency: u32,
+    /// tokens of each answer
+    #[argh(option, default = "16")]
+    max_tokens: u32,
+    /// process id of the node, to count its CPU time
+    #[argh(option)]
+    node_pid: Option<u32>,
+    /// seed of the prompts
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Times of all requests to one target, in microseconds.
+struct Recorded {
+    first_token_us: Histogram<u64>,
+    whole_us: Histogram<u64>,
+    took: Duration,
+}
+
+impl Compare {
+    /// Runs both and prints a table.
+    pub(crate) async fn run(&self) -> anyhow::Result<()> {
+        let is_local = self.node.ip().is_loopback() && self.engine.ip().is_loopback();
+        ensure!(is_local, "load stays on loopback addresses");
+        ensure!(self.requests <= MAX_REQUESTS, "--requests is above {MAX_REQUESTS}");
+        let node = caller::Target {
+            address: self.node,
+            key: self.key.clone(),
+            model: self.service.clone(),
+        };
+        let engine = caller::Target {
+            address: self.engine,
+            key: self.key.clone(),
+            model: self.model.clone(),
+        };
+        let direct = self.measure(&engine, 0).await?;
+        let before = self.node_cpu();
+        let through = self.measure(&node, 1).await?;
+        let after = self.node_cpu();
+        println!("| way | requests/s | first token, median ms | 99th ms | whole, median ms |");
+        println!("|---|---:|---:|---:|---:|");
+        print_row("engine", self.requests, &direct);
+        print_row("node", self.requests, &through);
+        let added = |share: f64| {
+            let through = through.first_token_us.value_at_quantile(share) as f64;
+            (through - direct.first_token_us.value_at_quantile(share) as f64) / 1e3
+        };
+        println!("added to first token: median {:.2} ms, 99th {:.2} ms", added(0.5), added(0.99));
+        if let (Some(before), Some(after)) = (before, after) {
+            let cpu = after.saturating_sub(before);
+            let each = cpu.as_secs_f64() / f64::from(self.requests);
+            println!(
+                "node CPU: {:.0} us a request, so {:.0} requests/s on one core",
+                each * 1e6,
+                1.0 / each
+            );
+        }
+        Ok(())
+    }
+
+    async fn measure(&self, target: &caller::Target, salt: u64) -> anyhow::Result<Recorded> {
+        let started = Instant::now();
+        let mut workers = tokio::task::JoinSet::new();
+        for worker in 0..self.concurrency.max(1) {
+            let count = self.requests / self.concurrency.max(1);
+            let target = target.clone();
+            let max_tokens = self.max_tokens;
+            let seed = self.seed ^ (u64::from(worker) << 32) ^ (salt << 63);
+            workers.spawn(async move { worker_run(&target, count, max_tokens, seed).await });
+        }
+        let mut recorded = Recorded {
+            first_token_us: Histogram::new(DIGITS)?,
+            whole_us: Histogram::new(DIGITS)?,
+            took: Duration::ZERO,
+        };
+        while let Some(times) = workers.join_next().await {
+            for times in times?? {
+                recorded.first_token_us.record(times.first_token.as_micros() as u64)?;
+                recorded.whole_us.record(times.whole.as_micros() as u64)?;
+            }
+        }
+        recorded.took = started.elapsed();
+        Ok(recorded)
+    }
+
+    /// CPU time of the node's process, in clock ticks of 10 ms.
+    fn node_cpu(&self) -> Option<Duration> {
+        let pid = self.node_pid?;
+        let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        let fields: Vec<&str> = text.rsplit(')').next()?.split_whitespace().collect();
+        let user: u64 = fields.get(11)?.parse().ok()?;
+        let system: u64 = fields.get(12)?.parse().ok()?;
+        Some(Duration::from_millis((user + system) * 10))
+    }
+}
+
+async fn worker_run(
+    target: &caller::Target,
+    count: u32,
+    max_tokens: u32,
+    seed: u64,
+) -> anyhow::Result<Vec<caller::Times>> {
+    let client = caller::client();
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut all = Vec::new();
+    for _ in 0..count {
+        let prompt = format!("How is gourd number {} cured?", rng.random::<u64>());
+        all.push(caller::ask(&client, target, &prompt, max_tokens).await?);
+    }
+    Ok(all)
+}
+
+fn print_row(way: &str, requests: u32, recorded: &Recorded) {
+    let millis =
+        |histogram: &Histogram<u64>, share| histogram.value_at_quantile(share) as f64 / 1e3;
+    println!(
+        "| {way} | {:.0} | {:.2} | {:.2} | {:.2} |",
+        f64::from(requests) / recorded.took.as_secs_f64(),
+        millis(&recorded.first_token_us, 0.5),
+        millis(&recorded.first_token_us, 0.99),
+        millis(&recorded.whole_us, 0.5),
+    );
+}
--- a/rhubarbrockd/src/endpoints.rs
+++ b/rhubarbrockd/src/endpoints.rs
@@ -17,7 +17,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Time between load probes of one endpoint.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Time in which an endpoint must answer a load probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_000);
