--- a/rhubarbrock/src/lib.rs
+++ b/rhubarbrock/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod action;
 pub mod admission;
 pub mod answer;
+mod answered;
 pub mod back_off;
 pub mod broadcast;
 pub mod cache;
--- a/rhubarbrock/src/node.rs
+++ b/rhubarbrock/src/node.rs
@@ -11,7 +11,7 @@
 use rhubarbrock_schema::{peer, release as schema};
 
 use crate::{
-    action, claim, counter, custody, dispatch, drain, event, fairness, id, membership,
+    action, answered, claim, counter, custody, dispatch, drain, event, fairness, id, membership,
     node_custody, node_model, node_plain, node_platform, node_poison, placement, quarantine,
     release, retry, snapshot, timeline,
 };
@@ -82,7 +82,7 @@
     pub(crate) platform: node_platform::View,
     pub(crate) models: BTreeMap<id::RequestId, node_model::ModelRequest>,
     pub(crate) plains: BTreeMap<event::CallId, node_plain::PlainRequest>,
-    pub(crate) answered: node_plain::AnsweredCalls,
+    pub(crate) answered: answered::AnsweredCalls,
     pub(crate) work: BTreeMap<fairness::Ticket, Work>,
     pub(crate) attempts: BTreeMap<id::AttemptId, fairness::Ticket>,
     /// Requests that are sent again at a time.
@@ -130,7 +130,7 @@
             platform: node_platform::View::default(),
             models: BTreeMap::new(),
             plains: BTreeMap::new(),
-            answered: node_plain::AnsweredCalls::default(),
+            answered: answered::AnsweredCalls::default(),
             work: BTreeMap::new(),
             attempts: BTreeMap::new(),
             delayed: BTreeSet::new(),
@@ -367,6 +367,36 @@
         organisation
     }
 
+    /// The service that a call names; refuses the call where it can't be one for that service.
+    pub(crate) fn service_for(
+        &mut self,
+        call: event::CallId,
+        name: &str,
+        kind: schema::ServiceKind,
+        body_bytes: usize,
+    ) -> Option<schema::Service> {
+        let Some(service) = self.services.get(name).cloned() else {
+            let detail = format!("there is no service called {name}");
+            self.refuse(call, action::RefusalKind::NotFound, detail, None);
+            return None;
+        };
+        if service.kind() != kind {
+            let wanted = match kind {
+                schema::ServiceKind::Model => "model",
+                _ => "plain",
+            };
+            let detail = format!("{name} is not a {wanted} service");
+            self.refuse(call, action::RefusalKind::BadRequest, detail, None);
+            return None;
+        }
+        if body_bytes > service.max_body_bytes as usize {
+            let detail = format!("the body is larger than {} bytes", service.max_body_bytes);
+            self.refuse(call, action::RefusalKind::TooLarge, detail, None);
+            return None;
+        }
+        Some(service)
+    }
+
     fn on_services_call(&mut self, call: event::CallId, key_sha256: &event::Sha256) {
         if self.authorise(call, key_sha256).is_none() {
             return;
--- a/rhubarbrock/src/node_model.rs
+++ b/rhubarbrock/src/node_model.rs
@@ -59,21 +59,11 @@
 impl Node {
     pub(crate) fn on_model_call(&mut self, call: event::ModelCall) {
         let Some(organisation) = self.admit_caller(call.call, &call.key_sha256) else { return };
-        let Some(service) = self.services.get(&call.service) else {
-            let detail = format!("there is no service called {}", call.service);
-            self.refuse(call.call, action::RefusalKind::NotFound, detail, None);
+        let kind = schema::ServiceKind::Model;
+        let body_bytes = call.body.len();
+        let Some(service) = self.service_for(call.call, &call.service, kind, body_bytes) else {
             return;
         };
-        if service.kind() != schema::ServiceKind::Model {
-            let detail = format!("{} is not a model service", call.service);
-            self.refuse(call.call, action::RefusalKind::BadRequest, detail, None);
-            return;
-        }
-        if call.body.len() > service.max_body_bytes as usize {
-            let detail = format!("the body is larger than {} bytes", service.max_body_bytes);
-            self.refuse(call.call, action::RefusalKind::TooLarge, detail, None);
-            return;
-        }
         let max_tokens = call.max_tokens.unwrap_or(service.max_tokens).min(service.max_tokens);
         let timeout = Duration::from_millis(u64::from(service.timeout_ms));
         if self.refuse_quarantined(call.call, call.fingerprint) {
--- a/rhubarbrock/src/node_plain.rs
+++ b/rhubarbrock/src/node_plain.rs
@@ -3,7 +3,6 @@
 //! A repeatable call may be sent again after a failure. A call that is not
 //! repeatable is claimed in the log first and sent at most once.
 
-use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rhubarbrock_schema::release as schema;
@@ -17,12 +16,6 @@
 /// Back-off before a repeatable call is sent again, times the attempts so far.
 const BACKOFF_STEP: Duration = Duration::from_millis(30);
 
-/// Answers kept for callers who ask again by request id.
-const MAX_ANSWERED: usize = 4_096;
-
-/// Largest answer kept, in bytes.
-const MAX_KEPT_BYTES: usize = 64 * 1024;
-
 /// A call to a plain service that is not concluded.
 #[derive(Debug, Clone)]
 pub(crate) struct PlainRequest {
@@ -58,83 +51,16 @@
     }
 }
 
-/// Answers kept for callers who ask again.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct AnsweredCalls {
-    by_request: BTreeMap<id::RequestId, AnsweredCall>,
-    by_time: BTreeSet<(Duration, id::RequestId)>,
-}
-
-#[derive(Debug, Clone)]
-struct AnsweredCall {
-    organisation: String,
-    answer: event::PlainAnswer,
-    at: Duration,
-}
-
-impl AnsweredCalls {
-    fn insert(
-        &mut self,
-        at: Duration,
-        request: id::RequestId,
-        organisation: String,
-        answer: event::PlainAnswer,
-    ) {
-        if answer.body.len() > MAX_KEPT_BYTES {
-            return;
-        }
-        if self.by_request.len() >= MAX_ANSWERED
-            && let Some((_, oldest)) = self.by_time.pop_first()
-        {
-            self.by_request.remove(&oldest);
-        }
-        self.by_time.insert((at, request));
-        self.by_request.insert(request, AnsweredCall { organisation, answer, at });
-    }
-
-    /// The answer of a request, for its organisation only.
-    pub(crate) fn get(
-        &self,
-        request: id::RequestId,
-        organisation: &str,
-    ) -> Option<event::PlainAnswer> {
-        let found = self.by_request.get(&request)?;
-        (found.organisation == organisation).then(|| found.answer.clone())
-    }
-
-    fn expire(&mut self, before: Duration) {
-        while let Some(&(at, request)) = self.by_time.first() {
-            if at >= before {
-                return;
-            }
-            self.by_time.remove(&(at, request));
-            if self.by_request.get(&request).is_some_and(|found| found.at == at) {
-                self.by_request.remove(&request);
-            }
-        }
-    }
-}
-
 impl Node {
     pub(crate) fn on_plain_call(&mut self, call: event::PlainCall) {
         let Some(organisation) = self.admit_caller(call.call, &call.key_sha256) else { return };
-        let Some(service) = self.services.get(&call.service) else {
-            let detail = format!("there is no service called {}", call.service);
-            self.refuse(call.call, action::RefusalKind::NotFound, detail, None);
+        let kind = schema::ServiceKind::Plain;
+        let body_bytes = call.body.len();
+        let Some(service) = self.service_for(call.call, &call.service, kind, body_bytes) else {
             return;
         };
-        if service.kind() != schema::ServiceKind::Plain {
-            let detail = format!("{} is not a plain service", call.service);
-            self.refuse(call.call, action::RefusalKind::BadRequest, detail, None);
-            return;
-        }
-        if call.body.len() > service.max_body_bytes as usize {
-            let detail = format!("the body is larger than {} bytes", service.max_body_bytes);
-            self.refuse(call.call, action::RefusalKind::TooLarge, detail, None);
-            return;
-        }
         let timeout = Duration::from_millis(u64::from(service.timeout_ms));
-        let is_repeatable = route::is_repeatable(service, &call.method, &call.path);
+        let is_repeatable = route::is_repeatable(&service, &call.method, &call.path);
         let number = call.call;
         let plain = PlainRequest {
             request: id::RequestId { holder: self.config.node, secret: call.secret },
