--- a/rhubarbrock/src/action.rs
+++ b/rhubarbrock/src/action.rs
@@ -208,8 +208,6 @@
     pub priority: i32,
     /// Most tokens to generate.
     pub max_tokens: u32,
-    /// Time in which the engine must be reached.
-    pub connect_timeout: Duration,
     /// Longest time without any chunk before the engine counts as broken.
     pub idle_timeout: Duration,
     /// Where a KV cache of the text so far was exported.
--- a/rhubarbrock/src/node_model.rs
+++ b/rhubarbrock/src/node_model.rs
@@ -7,9 +7,6 @@
 use crate::node::{Node, Work};
 use crate::{action, admission, dispatch, event, fairness, id, node_custody, retry, routing};
 
-/// Time in which an engine must take a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-
 /// Longest time without any token before an engine counts as broken.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(10_000);
 
@@ -180,7 +177,6 @@
             model: model.unwrap_or_default(),
             priority: if is_resumed { PRIORITY_RESUMED } else { PRIORITY_NEW },
             max_tokens: held.record.max_tokens,
-            connect_timeout: CONNECT_TIMEOUT,
             idle_timeout: IDLE_TIMEOUT,
             kv_source: None,
         };
