Keep one quota balance for all gateways instead of shares of the rate

Cause: a gateway owned an eighth of an organisation's rate and burst. For the small organisations (18,000 tokens a second) that is less than one guide (9,250 tokens), so 244 of 1,223 guides were refused though little was spent.

--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -35,6 +35,8 @@
     peers: BTreeMap<String, Peer>,
     /// Addresses of members, with the time at which they were learnt or heard last.
     addresses: BTreeMap<SocketAddr, Duration>,
+    /// Units of quota that others were seen to spend, by organisation.
+    spent_units: HashMap<String, u64>,
 }
 
 impl Peers {
@@ -63,12 +65,27 @@
                 return false;
             }
         }
+        self.add_spending(&report);
         let clock_ahead_ms = report.wall_ms as i64 - wall.as_millis() as i64;
         let peer = Peer { heard_at: now, clock_ahead_ms, report };
         self.peers.insert(peer.report.name.clone(), peer);
         true
     }
 
+    /// Adds what a gateway spent since its last report. Of one that was not known before, it
+    /// is unknown how much of its spending is recent, and none is added.
+    fn add_spending(&mut self, report: &gossip::Report) {
+        let Some(known) = self.peers.get(&report.name) else { return };
+        let is_same_start = known.report.incarnation == report.incarnation;
+        for demand in &report.demands {
+            let before = known.report.demands.iter().filter(|_| is_same_start);
+            let before = before.filter(|each| each.organisation == demand.organisation);
+            let before: u64 = before.map(|each| each.spent_units).sum();
+            let spent = demand.spent_units.saturating_sub(before);
+            *self.spent_units.entry(demand.organisation.clone()).or_default() += spent;
+        }
+    }
+
     /// Forgets gateways that have been silent for long.
     pub fn tick(&mut self, now: Duration) {
         self.peers.retain(|_, peer| now < peer.heard_at + ABSENCE);
@@ -80,10 +97,9 @@
         present.max(self.peers.len()) as u32 + 1
     }
 
-    /// Whether every gateway that counts has reported lately.
-    pub fn is_fresh(&self, now: Duration) -> bool {
-        let live = self.live(now).count();
-        live > 0 && live as u32 + 1 >= self.gateways(now)
+    /// Gateways that reported lately, this one included.
+    pub fn live_gateways(&self, now: Duration) -> u32 {
+        self.live(now).count() as u32 + 1
     }
 
     /// Highest release version that a gateway reports.
@@ -115,14 +131,15 @@
     /// Sums of the demands on each organisation's quota.
     pub fn demands(&self, now: Duration) -> HashMap<String, PeerDemand> {
         let gateways = self.gateways(now);
-        let is_fresh = self.is_fresh(now);
+        let live_gateways = self.live_gateways(now);
         let mut demands: HashMap<String, PeerDemand> = HashMap::new();
         for each in self.peers.values().flat_map(|peer| &peer.report.demands) {
             let demand = demands.entry(each.organisation.clone()).or_default();
+            let spent_units = self.spent_units.get(&each.organisation).copied();
             demand.units_per_s += each.units_per_s as f64;
-            demand.spent_units += each.spent_units as f64;
+            demand.spent_units = spent_units.unwrap_or_default() as f64;
             demand.gateways = gateways;
-            demand.is_fresh = is_fresh;
+            demand.live_gateways = live_gateways.min(gateways);
         }
         demands
     }
--- a/forwarding/src/quota.rs
+++ b/forwarding/src/quota.rs
@@ -1,10 +1,12 @@
 //! Quotas that all gateways keep together.
 //!
-//! Each gateway owns a share of an organisation's rate and burst, in proportion
-//! to the demand that it sees of it. The shares of all gateways sum to the
-//! quota, so it holds without a word between them. What the others leave unused
-//! is lent: a gateway that hears from all others may spend its part of the
-//! balance that all of them report, until the next report.
+//! Every gateway keeps the balance of all of them: it refills at the quota's
+//! rate, falls by what the gateway spends itself, and by what the others report
+//! to have spent. Between two reports the gateways don't see each other spend,
+//! so each keeps to its share of the balance, or to one request if that is
+//! more; what is overspent so is made up for before the next request. While
+//! gateways are silent, the balance refills only at the rate of those that are
+//! heard, as the others may go on spending.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -15,12 +17,13 @@
 /// Time over which demand is smoothed.
 const DEMAND_WINDOW: Duration = Duration::from_secs(2);
 
-/// Part of the quota that is shared evenly, so that a gateway without demand can serve the
+/// Part of the balance that is shared evenly, so that a gateway without demand can serve the
 /// first requests that reach it.
 const EVEN_SHARE: f64 = 0.3;
 
-/// Part of the reported balance that gateways may lend each other between two reports.
-const LENT_SHARE: f64 = 0.5;
+/// Factor on quotas, within the tenth by which the deployment lets them be exceeded, so that
+/// late reports don't refuse what is due.
+const TOLERANCE: f64 = 1.04;
 
 /// Shortest wait told to a refused caller.
 const MIN_WAIT: Duration = Duration::from_millis(100);
@@ -30,28 +33,29 @@
 pub struct PeerDemand {
     /// Sum of their demands, in units a second.
     pub units_per_s: f64,
-    /// Sum of what they spent since their starts.
+    /// Sum of what they were seen to spend; only grows.
     pub spent_units: f64,
     /// Number of gateways, this one included.
     pub gateways: u32,
-    /// Whether all of them reported lately.
-    pub is_fresh: bool,
+    /// Gateways that reported lately, this one included.
+    pub live_gateways: u32,
 }
 
 #[derive(Debug, Clone)]
 struct Account {
-    /// Own share that is left.
-    own_units: f64,
-    /// Balance of all gateways as last reported.
-    common_units: f64,
-    /// What may still be borrowed until the next report.
-    lent_units: f64,
+    quota: Quota,
+    balance_units: f64,
+    /// Balance when the others' spending was last taken in.
+    synced_units: f64,
+    spent_since_sync_units: f64,
+    /// Own part of the demand of all gateways.
     share: f64,
+    /// Part of the gateways that are heard.
+    live_share: f64,
     demand_units_per_s: f64,
     spent_units: f64,
     peers_spent_units: f64,
     refilled_at: Duration,
-    quota: Quota,
 }
 
 /// Accounts of all organisations at this gateway.
@@ -86,14 +90,11 @@
         account.set_quota(quota);
         account.refill(now);
         account.demand_units_per_s += units / DEMAND_WINDOW.as_secs_f64();
-        if account.own_units >= units {
-            account.own_units -= units;
-        } else if account.lent_units >= units {
-            account.lent_units -= units;
-        } else {
+        if !account.may_spend(units) {
             return Err(account.wait(units));
         }
-        account.common_units -= units;
+        account.balance_units -= units;
+        account.spent_since_sync_units += units;
         account.spent_units += units;
         Ok(())
     }
@@ -101,8 +102,8 @@
     /// Gives back what a request that did not run had spent.
     pub fn refund(&mut self, organisation: &str, units: f64) {
         if let Some(account) = self.accounts.get_mut(organisation) {
-            account.own_units = (account.own_units + units).min(account.own_burst());
-            account.common_units += units;
+            account.balance_units += units;
+            account.spent_since_sync_units -= units;
             account.spent_units -= units;
         }
     }
@@ -125,21 +126,31 @@
 impl Account {
     fn new(now: Duration, quota: Quota, gateways: u32) -> Account {
         let share = 1.0 / f64::from(gateways.max(1));
+        let burst_units = quota.burst_units * TOLERANCE;
         Account {
-            own_units: quota.burst_units * share,
-            common_units: quota.burst_units,
-            lent_units: 0.0,
+            quota,
+            balance_units: burst_units,
+            synced_units: burst_units,
+            spent_since_sync_units: 0.0,
             share,
+            live_share: share,
             demand_units_per_s: 0.0,
             spent_units: 0.0,
             peers_spent_units: 0.0,
             refilled_at: now,
-            quota,
         }
     }
 
-    fn own_burst(&self) -> f64 {
-        self.quota.burst_units * self.share
+    fn burst_units(&self) -> f64 {
+        self.quota.burst_units * TOLERANCE
+    }
+
+    fn may_spend(&self, units: f64) -> bool {
+        if self.balance_units < units.min(self.burst_units()) {
+            return false;
+        }
+        let is_first = self.spent_since_sync_units <= 0.0;
+        is_first || self.spent_since_sync_units + units <= self.share * self.synced_units
     }
 
     fn set_quota(&mut self, quota: Quota) {
@@ -147,17 +158,15 @@
             return;
         }
         self.quota = quota;
-        self.common_units = self.common_units.min(quota.burst_units);
-        self.own_units = self.own_units.min(self.own_burst());
-        self.lent_units = 0.0;
+        self.balance_units = self.balance_units.min(self.burst_units());
+        self.synced_units = self.synced_units.min(self.burst_units());
     }
 
     fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
-        let refill = self.quota.units_per_s * elapsed;
-        self.own_units = (self.own_units + refill * self.share).min(self.own_burst());
-        self.common_units = (self.common_units + refill).min(self.quota.burst_units);
+        let refill = self.quota.units_per_s * TOLERANCE * elapsed * self.live_share;
+        self.balance_units = (self.balance_units + refill).min(self.burst_units());
         self.demand_units_per_s *= (-elapsed / DEMAND_WINDOW.as_secs_f64()).exp();
     }
 
@@ -165,23 +174,20 @@
         let gateways = f64::from(peers.gateways.max(1));
         let spent = (peers.spent_units - self.peers_spent_units).max(0.0);
         self.peers_spent_units = peers.spent_units;
-        self.common_units -= spent;
-        if !peers.is_fresh {
-            self.lent_units = 0.0;
-            return;
-        }
+        self.balance_units -= spent;
+        self.synced_units = self.balance_units.max(0.0);
+        self.spent_since_sync_units = 0.0;
+        self.live_share = f64::from(peers.live_gateways) / gateways;
         let total = peers.units_per_s + self.demand_units_per_s;
         let by_demand = if total > 0.0 { self.demand_units_per_s / total } else { 1.0 / gateways };
         self.share = EVEN_SHARE / gateways + (1.0 - EVEN_SHARE) * by_demand;
-        self.own_units = self.own_units.min(self.own_burst());
-        self.lent_units = (self.common_units * LENT_SHARE / gateways).max(0.0);
     }
 
     fn wait(&self, units: f64) -> Duration {
-        let rate = self.quota.units_per_s * self.share;
-        let missing = (units - self.own_units).max(0.0);
-        if rate <= 0.0 {
-            return Duration::from_secs(1);
+        let missing = units.min(self.burst_units()) - self.balance_units;
+        let rate = self.quota.units_per_s;
+        if missing <= 0.0 || rate <= 0.0 {
+            return MIN_WAIT;
         }
         Duration::from_secs_f64((missing / rate).min(10.0)).max(MIN_WAIT)
     }
--- a/forwarding/src/request.rs
+++ b/forwarding/src/request.rs
@@ -44,7 +44,7 @@
 impl Prompt {
     /// Key that requests with the same shared parts have in common.
     pub fn affinity_key(&self) -> Option<u64> {
-        let shared = self.parts.len().checked_sub(2).unwrap_or_default();
+        let shared = self.parts.len().saturating_sub(2);
         self.parts.get(shared).map(|part| part.id)
     }
 
