Order mostly reclaimable replicas, read the store less, use the quota's slack

Store: the release was read each 0.67 s, entries each 0.5 s. Now each 2.2 s and 1 s; a gateway that hears of a newer release reads at once. Quota: requests were refused with 156,143 units left, as clumps exceed the share between two reports.

--- a/forwarding/src/choice.rs
+++ b/forwarding/src/choice.rs
@@ -28,6 +28,10 @@
 /// Tokens charged for another data centre: some milliseconds of reading a prompt.
 const DISTANCE_TOKENS: f64 = 300.0;
 
+/// Tokens charged for another data centre for each token of the answer, as a packet lost
+/// between data centres makes a stream late.
+const DISTANCE_TOKENS_PER_OUTPUT: f64 = 4.0;
+
 /// Cost factor of an endpoint that is slow after its start.
 const WARM_UP_FACTOR: f64 = 3.0;
 
@@ -78,6 +82,7 @@
         std::cmp::Reverse(rendezvous::score(key, id))
     });
     let shared = prompt.shared_tokens() as f64;
+    let far = DISTANCE_TOKENS + prompt.output_tokens as f64 * DISTANCE_TOKENS_PER_OUTPUT;
     let costs = candidates.iter().enumerate().map(|(rank, endpoint)| {
         let missing = match rank {
             0 => 0.0,
@@ -86,8 +91,8 @@
         };
         let waiting = endpoint.waiting_tokens() as f64;
         let running = f64::from(endpoint.requests()) * TOKENS_PER_RUNNING;
-        let distance =
-            if endpoint.entry.data_centre == question.data_centre { 0.0 } else { DISTANCE_TOKENS };
+        let is_near = endpoint.entry.data_centre == question.data_centre;
+        let distance = if is_near { 0.0 } else { far };
         (missing + waiting + running + distance) * warm_up_factor(endpoint, now)
             + full_cost(endpoint)
     });
--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -5,6 +5,7 @@
 
 use derive_more::Display;
 
+use crate::arrivals::{Arrivals, Meter};
 use crate::choice::{self, Question};
 use crate::endpoints::{EndpointId, Table};
 use crate::peers::Peers;
@@ -42,10 +43,7 @@
     UnknownKey,
     /// The organisation's quota is spent.
     #[display("the organisation's quota is spent")]
-    OverQuota {
-        /// When it suffices again.
-        wait: Duration,
-    },
+    OverQuota(quota::Shortage),
     /// The request has crashed endpoints.
     #[display("the request has crashed endpoints")]
     Suspect,
@@ -71,7 +69,8 @@
     pub fn wait(&self) -> Option<Duration> {
         match self {
             Refusal::NoRoute | Refusal::UnknownKey => None,
-            Refusal::OverQuota { wait } | Refusal::Full { wait } => Some(*wait),
+            Refusal::OverQuota(shortage) => Some(shortage.wait),
+            Refusal::Full { wait } => Some(*wait),
             Refusal::Suspect => Some(SUSPECT_WAIT),
             Refusal::Stopping => Some(Duration::ZERO),
             Refusal::NoRelease | Refusal::NoEndpoint | Refusal::Expired => Some(UNAVAILABLE_WAIT),
@@ -192,6 +191,8 @@
     pub usage: Usage,
     /// Requests that may crash endpoints.
     pub suspects: Suspects,
+    /// Work asked of services with model engines.
+    pub meter: Meter,
     release: Option<Arc<Release>>,
     budget: RetryBudget,
 }
@@ -206,6 +207,7 @@
             accounts: Accounts::default(),
             usage: Usage::default(),
             suspects: Suspects::default(),
+            meter: Meter::default(),
             release: None,
             budget: RetryBudget::default(),
         }
@@ -254,12 +256,17 @@
         let quota = organisation.and_then(|organisation| organisation.quota);
         let quota_units = quota.map_or(0.0, |quota| quota::units(&quota, request.prompt.as_ref()));
         if let Some(organisation) = organisation {
-            let gateways = self.peers.gateways(now);
-            self.accounts
-                .spend(now, organisation, gateways, quota_units)
-                .map_err(|wait| Refusal::OverQuota { wait })?;
+            let group = quota::Group {
+                gateways: self.peers.gateways(now),
+                slack_units: self.settings.bounds.quota_slack_units,
+            };
+            let cost = quota::Cost { units: quota_units, is_plain: request.prompt.is_none() };
+            self.accounts.spend(now, organisation, &group, &cost).map_err(Refusal::OverQuota)?;
         }
         self.budget.on_request(now, &self.settings.bounds, service);
+        if let Some(prompt) = &request.prompt {
+            self.meter.on_prompt(now, service, prompt.own_tokens());
+        }
         let time_left = request.time_left.map_or(route.timeout, |left| left.min(route.timeout));
         Ok(Ticket {
             attempt_id: request.attempt_id.clone(),
@@ -327,6 +334,10 @@
             return;
         }
         ticket.is_counted = true;
+        if ticket.prompt.is_some() {
+            let is_late = now > ticket.arrived_at + ticket.latency_target;
+            self.meter.on_first_event(now, &ticket.service, is_late);
+        }
         if let Some(organisation) = &ticket.organisation {
             let correction_ms = self.peers.clock_correction_ms(now);
             let wall_ms = (wall.as_millis() as i64 + correction_ms).max(0) as u64;
@@ -395,6 +406,11 @@
         self.endpoints.on_stray_bytes(&target.id, now + UNTIDY_PAUSE);
     }
 
+    /// Work asked of a service at all gateways.
+    pub fn arrivals(&self, now: Duration, service: &str) -> Arrivals {
+        self.meter.of(now, service).plus(self.peers.arrivals(now, service))
+    }
+
     /// Takes in what the other gateways reported.
     pub fn on_peer_reports(&mut self, now: Duration) {
         self.peers.tick(now);
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(splitter.next().unwrap().is_none());
 //! ```
 
+pub mod arrivals;
 pub mod choice;
 pub mod dispatcher;
 pub mod endpoints;
@@ -26,6 +27,7 @@
 pub mod release;
 pub mod request;
 pub mod retry_budget;
+pub mod scaling;
 pub mod settings;
 pub mod suspects;
 pub mod usage;
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -1,14 +1,16 @@
 //! Other gateways as their reports describe them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rhubarbrock_schema::gossip;
 
+use crate::arrivals::Arrivals;
 use crate::endpoints::{EndpointId, Load};
 use crate::quota::PeerDemand;
 use crate::suspects::Fingerprint;
+use crate::usage::Source;
 
 /// Silence after which a gateway's load no longer counts; several reports may be lost.
 const SILENCE: Duration = Duration::from_millis(1_500);
@@ -144,13 +146,22 @@
         demands
     }
 
-    /// Tokens or requests a second that live gateways see for each service.
-    pub fn arrivals(&self, now: Duration) -> HashMap<String, u64> {
-        let mut arrivals: HashMap<String, u64> = HashMap::new();
-        for each in self.live(now).flat_map(|peer| &peer.report.arrivals) {
-            *arrivals.entry(each.service.clone()).or_default() += each.per_s;
+    /// Work that live gateways see for one service.
+    pub fn arrivals(&self, now: Duration, service: &str) -> Arrivals {
+        let rows = self.live(now).flat_map(|peer| &peer.report.arrivals);
+        let mut sum = Arrivals::default();
+        for row in rows.filter(|row| row.service == service) {
+            sum.tokens_per_s += row.tokens_per_s as f64;
+            sum.first_events_per_s += row.first_events_milli_per_s as f64 / 1_000.0;
+            sum.late_per_s += row.late_milli_per_s as f64 / 1_000.0;
         }
-        arrivals
+        sum
+    }
+
+    /// Names and starts of live gateways.
+    pub fn live_sources(&self, now: Duration) -> BTreeSet<Source> {
+        let reports = self.live(now).map(|peer| &peer.report);
+        reports.map(|report| (report.name.clone(), report.incarnation)).collect()
     }
 
     /// Breaks of connections during requests, as other gateways saw them.
--- a/forwarding/src/quota.rs
+++ b/forwarding/src/quota.rs
@@ -25,9 +25,30 @@
 /// late reports don't refuse what is due.
 const TOLERANCE: f64 = 1.04;
 
+/// Part of the slack that gateways may spend beyond their shares between two reports; the rest
+/// covers their single large requests.
+const UNSEEN_SLACK_SHARE: f64 = 0.4;
+
+/// Part of the slack by which plain requests may overdraw the balance. They count little, and
+/// would wait behind prompts that count a hundred times as much.
+const PLAIN_OVERDRAFT_SHARE: f64 = 0.25;
+
 /// Shortest wait told to a refused caller.
 const MIN_WAIT: Duration = Duration::from_millis(100);
 
+/// Why a request's units cannot be spent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shortage {
+    /// When the balance should suffice.
+    pub wait: Duration,
+    /// Units that the request counts.
+    pub units: u64,
+    /// Balance of all gateways, as known here.
+    pub balance_units: i64,
+    /// Part of the balance that this gateway may spend between two reports, in percent.
+    pub share_percent: u8,
+}
+
 /// What the other gateways report of one organisation.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct PeerDemand {
@@ -64,6 +85,24 @@
     accounts: HashMap<String, Account>,
 }
 
+/// The gateways that keep a quota together.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Group {
+    /// How many they are.
+    pub gateways: u32,
+    /// Units by which all of them may exceed a quota in its window.
+    pub slack_units: f64,
+}
+
+/// What a request counts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cost {
+    /// Units of the quota.
+    pub units: f64,
+    /// Whether it is a request without a prompt.
+    pub is_plain: bool,
+}
+
 /// Units that a request counts.
 pub fn units(quota: &Quota, prompt: Option<&Prompt>) -> f64 {
     match quota.unit {
@@ -74,24 +113,25 @@
 }
 
 impl Accounts {
-    /// Spends a request's units, or says how long the caller should wait.
+    /// Spends a request's units, or says what is missing.
     pub fn spend(
         &mut self,
         now: Duration,
         organisation: &Organisation,
-        gateways: u32,
-        units: f64,
-    ) -> Result<(), Duration> {
+        group: &Group,
+        cost: &Cost,
+    ) -> Result<(), Shortage> {
         let Some(quota) = organisation.quota else { return Ok(()) };
         let account = self
             .accounts
             .entry(organisation.name.clone())
-            .or_insert_with(|| Account::new(now, quota, gateways));
+            .or_insert_with(|| Account::new(now, quota, group.gateways));
         account.set_quota(quota);
         account.refill(now);
+        let units = cost.units;
         account.demand_units_per_s += units / DEMAND_WINDOW.as_secs_f64();
-        if !account.may_spend(units) {
-            return Err(account.wait(units));
+        if !account.may_spend(group, cost) {
+            return Err(account.shortage(units));
         }
         account.balance_units -= units;
         account.spent_since_sync_units += units;
@@ -145,12 +185,19 @@
         self.quota.burst_units * TOLERANCE
     }
 
-    fn may_spend(&self, units: f64) -> bool {
+    fn may_spend(&self, group: &Group, cost: &Cost) -> bool {
+        let units = cost.units;
+        if cost.is_plain && self.balance_units > -PLAIN_OVERDRAFT_SHARE * group.slack_units {
+            return true;
+        }
         if self.balance_units < units.min(self.burst_units()) {
             return false;
         }
+        let gateways = f64::from(group.gateways.max(1));
+        let unseen = UNSEEN_SLACK_SHARE * group.slack_units / gateways;
         let is_first = self.spent_since_sync_units <= 0.0;
-        is_first || self.spent_since_sync_units + units <= self.share * self.synced_units
+        let limit = self.share * self.synced_units + unseen;
+        is_first || self.spent_since_sync_units + units <= limit
     }
 
     fn set_quota(&mut self, quota: Quota) {
@@ -183,6 +230,15 @@
         self.share = EVEN_SHARE / gateways + (1.0 - EVEN_SHARE) * by_demand;
     }
 
+    fn shortage(&self, units: f64) -> Shortage {
+        Shortage {
+            wait: self.wait(units),
+            units: units as u64,
+            balance_units: self.balance_units as i64,
+            share_percent: (self.share * 100.0) as u8,
+        }
+    }
+
     fn wait(&self, units: f64) -> Duration {
         let missing = units.min(self.burst_units()) - self.balance_units;
         let rate = self.quota.units_per_s;
--- /dev/null
+++ b/forwarding/src/scaling.rs
@@ -0,0 +1,289 @@
+//! How many replicas of a service there should be, where, and of which market.
+//!
+//! Reclaimable replicas cost a fraction of ordinary ones, but all of a data
+//! centre may leave within seconds, and for a while there may be none to be had.
+//! So the work is planned for reclaimable replicas spread over all data centres,
+//! beside a few ordinary ones that never leave; what is missing meanwhile is
+//! ordered as ordinary replicas, in the cheapest data centre with room.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::arrivals::Arrivals;
+use crate::endpoints::Endpoint;
+use crate::release::Scaling;
+
+/// Tokens of prompts a second planned for one replica: a third of what engines of this kind
+/// read, as shared parts are read again after a loss and decoding goes on beside prompts.
+const TOKENS_PER_REPLICA_S: f64 = 30_000.0;
+
+/// Time in which a peak of the work fades from the plan; replicas that were given up take
+/// their start and their empty cache to come back.
+const PEAK_FADES: Duration = Duration::from_secs(20);
+
+/// Time for which work must have been seen before ordinary replicas are given up.
+const FIRST_SHRINK_DELAY: Duration = Duration::from_secs(4);
+
+/// Part of late first events above which more replicas are planned.
+const LATE_SHARE_HIGH: f64 = 0.06;
+
+/// Part of late first events below which the plan goes back.
+const LATE_SHARE_LOW: f64 = 0.02;
+
+/// Step by which the plan grows while first events are late.
+const GROWTH: f64 = 1.25;
+
+/// Largest growth of the plan.
+const MAX_GROWTH: f64 = 2.5;
+
+/// Interval between two steps of growth, the time that an order takes to show.
+const GROWTH_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Part of the planned replicas that are ordinary where reclaimable ones are to be had.
+const ORDINARY_SHARE: f64 = 0.2;
+
+/// Replicas planned beyond the need, so that one may fail.
+const SPARE_REPLICAS: f64 = 1.0;
+
+/// Time for which fewer ordinary replicas must suffice before some are given up.
+const SHRINK_DELAY: Duration = Duration::from_secs(4);
+
+/// Pause after an order that was refused.
+const REFUSED_PAUSE: Duration = Duration::from_secs(4);
+
+/// Time beyond a replica's start after which an order that did not show is repeated.
+const REPEAT_DELAY: Duration = Duration::from_secs(4);
+
+/// Replicas of one service, data centre and market.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Place {
+    /// Service.
+    pub service: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Whether the platform may take them back.
+    pub is_reclaimable: bool,
+}
+
+/// An order for a number of replicas.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// Of what and where.
+    pub place: Place,
+    /// How many there should be.
+    pub replicas: u32,
+}
+
+/// Answer to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answered {
+    /// Accepted.
+    Accepted,
+    /// There are none to be had now.
+    Refused,
+    /// Nobody knows.
+    Unknown,
+}
+
+/// What a plan is made from.
+#[derive(Debug)]
+pub struct View<'v> {
+    /// Service.
+    pub service: &'v str,
+    /// Bounds and prices.
+    pub scaling: &'v Scaling,
+    /// Its endpoints that don't leave.
+    pub endpoints: Vec<&'v Endpoint>,
+    /// Work asked of it.
+    pub arrivals: Arrivals,
+}
+
+/// Demand on one service as the plan sees it.
+#[derive(Debug, Clone, Copy)]
+struct Demand {
+    at: Duration,
+    peak_tokens_per_s: f64,
+    growth: f64,
+    grown_at: Duration,
+    first_work_at: Option<Duration>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Ordered {
+    replicas: u32,
+    at: Duration,
+}
+
+/// Plans of all services.
+#[derive(Debug, Default)]
+pub struct Planner {
+    ordered: BTreeMap<Place, Ordered>,
+    refused_until: BTreeMap<Place, Duration>,
+    demands: BTreeMap<String, Demand>,
+    surplus_since: BTreeMap<String, Duration>,
+}
+
+/// Counts by data centre.
+type Counts = BTreeMap<String, u32>;
+
+impl Planner {
+    /// Orders that bring a service to its plan.
+    pub fn plan(&mut self, now: Duration, view: &View<'_>) -> Vec<Order> {
+        let needed = self.needed(now, view);
+        let reclaimable = self.reclaimable_targets(now, view, needed);
+        let ordinary = self.ordinary_targets(now, view, needed);
+        let mut orders = Vec::new();
+        for (targets, is_reclaimable) in [(reclaimable, true), (ordinary, false)] {
+            for (data_centre, replicas) in targets {
+                let service = view.service.to_owned();
+                let place = Place { service, data_centre, is_reclaimable };
+                if self.must_order(now, view, &place, replicas) {
+                    orders.push(Order { place, replicas });
+                }
+            }
+        }
+        orders
+    }
+
+    /// Takes the answer to an order.
+    pub fn on_answer(&mut self, now: Duration, order: &Order, answer: Answered) {
+        match answer {
+            Answered::Accepted => {
+                let ordered = Ordered { replicas: order.replicas, at: now };
+                self.ordered.insert(order.place.clone(), ordered);
+                self.refused_until.remove(&order.place);
+            }
+            Answered::Refused => {
+                self.ordered.remove(&order.place);
+                self.refused_until.insert(order.place.clone(), now + REFUSED_PAUSE);
+            }
+            Answered::Unknown => {
+                self.ordered.remove(&order.place);
+            }
+        }
+    }
+
+    /// Forgets all orders, as another gateway may have given others since.
+    pub fn forget_orders(&mut self) {
+        self.ordered.clear();
+        self.refused_until.clear();
+        self.surplus_since.clear();
+    }
+
+    fn needed(&mut self, now: Duration, view: &View<'_>) -> u32 {
+        let demand = self.demands.entry(view.service.to_owned()).or_insert(Demand {
+            at: now,
+            peak_tokens_per_s: 0.0,
+            growth: 1.0,
+            grown_at: now,
+            first_work_at: None,
+        });
+        demand.update(now, &view.arrivals);
+        let replicas = demand.peak_tokens_per_s / TOKENS_PER_REPLICA_S * demand.growth;
+        (replicas + SPARE_REPLICAS).ceil().max(2.0) as u32
+    }
+
+    fn reclaimable_targets(&self, now: Duration, view: &View<'_>, needed: u32) -> Counts {
+        let scaling = view.scaling;
+        if scaling.reclaimable_price.is_none() || scaling.prices.is_empty() {
+            return Counts::new();
+        }
+        // What is left when one data centre's leave is to suffice.
+        let remaining = (scaling.prices.len() as u32 - 1).max(1);
+        let each = needed.div_ceil(remaining).clamp(1, scaling.max_replicas);
+        let present = count(view, true);
+        let targets = scaling.prices.keys().map(|data_centre| {
+            let service = view.service.to_owned();
+            let place = Place { service, data_centre: data_centre.clone(), is_reclaimable: true };
+            let is_refused = self.refused_until.get(&place).is_some_and(|&until| now < until);
+            let present = present.get(data_centre).copied().unwrap_or_default();
+            (data_centre.clone(), if is_refused { present } else { each })
+        });
+        targets.collect()
+    }
+
+    fn ordinary_targets(&mut self, now: Duration, view: &View<'_>, needed: u32) -> Counts {
+        let scaling = view.scaling;
+        let present_reclaimable = count(view, true);
+        let present = count(view, false);
+        let live: u32 = present_reclaimable.values().sum();
+        let base = (f64::from(needed) * ORDINARY_SHARE).ceil() as u32;
+        let wanted = base.max(needed.saturating_sub(live));
+        let total: u32 = present.values().sum();
+        let wanted = self.shrink_slowly(now, view.service, wanted, total);
+        let mut by_price: Vec<(&String, f64)> =
+            scaling.prices.iter().map(|(name, &price)| (name, price)).collect();
+        by_price.sort_by(|left, right| left.1.total_cmp(&right.1));
+        let mut left = wanted;
+        let mut targets = Counts::new();
+        for (data_centre, _) in by_price {
+            let others = present_reclaimable.get(data_centre).copied().unwrap_or_default();
+            let room = scaling.max_replicas.saturating_sub(others);
+            let least = scaling.min_replicas.saturating_sub(others);
+            let replicas = left.min(room).max(least);
+            left = left.saturating_sub(replicas);
+            targets.insert(data_centre.clone(), replicas);
+        }
+        targets
+    }
+
+    /// Keeps ordinary replicas until fewer have sufficed for a while.
+    fn shrink_slowly(&mut self, now: Duration, service: &str, wanted: u32, total: u32) -> u32 {
+        let first_work_at = self.demands.get(service).and_then(|demand| demand.first_work_at);
+        let is_work_known = first_work_at.is_some_and(|at| now >= at + FIRST_SHRINK_DELAY);
+        if wanted >= total || !is_work_known {
+            self.surplus_since.remove(service);
+            return wanted.max(total);
+        }
+        let since = *self.surplus_since.entry(service.to_owned()).or_insert(now);
+        if now >= since + SHRINK_DELAY { wanted } else { total }
+    }
+
+    fn must_order(&self, now: Duration, view: &View<'_>, place: &Place, replicas: u32) -> bool {
+        if self.refused_until.get(place).is_some_and(|&until| now < until) {
+            return false;
+        }
+        let present = count(view, place.is_reclaimable);
+        let present = present.get(&place.data_centre).copied().unwrap_or_default();
+        match self.ordered.get(place) {
+            None => present != replicas,
+            Some(ordered) if ordered.replicas != replicas => true,
+            Some(ordered) => {
+                present < replicas && now >= ordered.at + view.scaling.boot + REPEAT_DELAY
+            }
+        }
+    }
+}
+
+impl Demand {
+    fn update(&mut self, now: Duration, arrivals: &Arrivals) {
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        self.at = now;
+        let faded = self.peak_tokens_per_s * (-elapsed / PEAK_FADES.as_secs_f64()).exp();
+        self.peak_tokens_per_s = faded.max(arrivals.tokens_per_s);
+        if arrivals.first_events_per_s > 1.0 {
+            self.first_work_at.get_or_insert(now);
+        }
+        if now < self.grown_at + GROWTH_INTERVAL {
+            return;
+        }
+        let late_share = arrivals.late_share();
+        if late_share > LATE_SHARE_HIGH {
+            self.growth = (self.growth * GROWTH).min(MAX_GROWTH);
+            self.grown_at = now;
+        } else if late_share < LATE_SHARE_LOW {
+            self.growth = (self.growth / GROWTH).max(1.0);
+            self.grown_at = now;
+        }
+    }
+}
+
+fn count(view: &View<'_>, is_reclaimable: bool) -> Counts {
+    let mut counts = Counts::new();
+    for endpoint in &view.endpoints {
+        if endpoint.entry.is_reclaimable == is_reclaimable {
+            *counts.entry(endpoint.entry.data_centre.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
--- a/forwarding/src/usage.rs
+++ b/forwarding/src/usage.rs
@@ -4,7 +4,7 @@
 //! report that is lost or comes twice changes nothing, and those of a gateway
 //! that is gone stay.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 /// Number of a window since the Unix epoch.
@@ -34,6 +34,9 @@
 impl Usage {
     /// Counts a request that began to run.
     pub fn on_run(&mut self, window: Window, organisation: &str) {
+        if !self.own.contains_key(&window) {
+            self.forget_before(window.saturating_sub(WINDOWS_KEPT as Window));
+        }
         let counts = self.own.entry(window).or_default();
         *counts.entry(organisation.to_owned()).or_default() += 1;
         trim(&mut self.own);
@@ -55,6 +58,24 @@
         trim(windows);
     }
 
+    /// Counts of gateways that are not among `live`, in windows from `from` on; nobody else
+    /// tells them.
+    pub fn of_departed<'u>(
+        &'u self,
+        live: &'u BTreeSet<Source>,
+        from: Window,
+    ) -> impl Iterator<Item = (&'u Source, Window, &'u Counts)> {
+        let departed = self.others.iter().filter(|(source, _)| !live.contains(source));
+        departed.flat_map(move |(source, windows)| {
+            windows.range(from..).map(move |(&window, counts)| (source, window, counts))
+        })
+    }
+
+    /// Forgets gateways that counted nothing in windows from `from` on.
+    fn forget_before(&mut self, from: Window) {
+        self.others.retain(|_, windows| windows.range(from..).next().is_some());
+    }
+
     /// Counts of all gateways in one window.
     pub fn total(&self, window: Window) -> Counts {
         let mut total = self.own.get(&window).cloned().unwrap_or_default();
@@ -65,12 +86,6 @@
         }
         total
     }
-
-    /// The latest window that any gateway counted in.
-    pub fn latest(&self) -> Option<Window> {
-        let others = self.others.values().filter_map(|windows| windows.keys().next_back());
-        others.chain(self.own.keys().next_back()).max().copied()
-    }
 }
 
 fn trim(windows: &mut BTreeMap<Window, Counts>) {
--- a/gateway/src/duties.rs
+++ b/gateway/src/duties.rs
@@ -1,10 +1,11 @@
-//! Duties that one gateway performs for all: usage reports.
+//! Duties that one gateway performs for all: usage reports and orders for replicas.
 
 use std::collections::BTreeSet;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use forwarding::lease::{Appended, CALL_TIMEOUT, Lease, Record, Step};
+use forwarding::scaling::{Answered, Order, Planner, View};
 use forwarding::usage::{self, Counts, Window};
 use http::StatusCode;
 use platform::duties::{Duties, Holder};
@@ -36,15 +37,15 @@
     reported: BTreeSet<Window>,
     window_length: Duration,
     was_held: bool,
+    planner: Planner,
+    reports_usage: bool,
+    orders_replicas: bool,
 }
 
 /// Holds the lease when it is free, and reports usage while it does.
 pub(crate) async fn run(context: Context) {
     let settings = context.dispatcher().settings.clone();
     let Some(duty_address) = settings.duty_address else { return };
-    if !settings.reports_usage {
-        return;
-    }
     let lease = Lease::new(settings.name.clone(), context.incarnation, settings.bounds.lease);
     let mut runner = Runner {
         store: Store::new(settings.store_address),
@@ -54,6 +55,9 @@
         reported: BTreeSet::new(),
         window_length: settings.bounds.usage_window,
         was_held: false,
+        planner: Planner::default(),
+        reports_usage: settings.reports_usage,
+        orders_replicas: settings.orders_replicas,
         context,
     };
     time::sleep(FIRST_LOOK).await;
@@ -77,7 +81,12 @@
             Step::Append { at, record } => self.append(at, &record).await,
         }
         self.note_change();
-        self.report().await;
+        if self.reports_usage {
+            self.report().await;
+        }
+        if self.orders_replicas {
+            self.order().await;
+        }
     }
 
     /// Time of day by the median of all gateways' clocks.
@@ -145,10 +154,53 @@
             return;
         }
         self.was_held = is_held;
+        self.planner.forget_orders();
         let text = if is_held { "duties taken" } else { "duties lost" };
         info!(self.context.logger, "{}", text; "epoch" => self.lease.epoch());
     }
 
+    async fn order(&mut self) {
+        let Some(epoch) = self.lease.epoch() else { return };
+        for order in self.plan() {
+            if !self.lease.may_act(self.context.now()) {
+                return;
+            }
+            let holder = Holder { name: &self.name, epoch };
+            let called = self.duties.order(holder, &order, CALL_TIMEOUT).await;
+            let answer = match &called {
+                Ok(status) if status.is_success() => Answered::Accepted,
+                Ok(StatusCode::CONFLICT) => Answered::Refused,
+                Ok(_) | Err(_) => Answered::Unknown,
+            };
+            info!(self.context.logger, "replicas ordered";
+                "service" => &order.place.service, "data_centre" => &order.place.data_centre,
+                "is_reclaimable" => order.place.is_reclaimable, "replicas" => order.replicas,
+                "epoch" => epoch, "answer" => ?called);
+            self.planner.on_answer(self.context.now(), &order, answer);
+        }
+    }
+
+    fn plan(&mut self) -> Vec<Order> {
+        let now = self.context.now();
+        let dispatcher = self.context.dispatcher();
+        let Some(release) = dispatcher.release().cloned() else { return Vec::new() };
+        let mut orders = Vec::new();
+        for (service, scaling) in release
+            .services
+            .iter()
+            .filter_map(|(name, service)| service.scaling.as_ref().map(|scaling| (name, scaling)))
+        {
+            let view = View {
+                service,
+                scaling,
+                endpoints: dispatcher.endpoints.of_service(service).collect(),
+                arrivals: dispatcher.arrivals(now, service),
+            };
+            orders.extend(self.planner.plan(now, &view));
+        }
+        orders
+    }
+
     async fn report(&mut self) {
         let Some(settled) = self.lease.settled().cloned() else { return };
         let Some(epoch) = self.lease.epoch() else { return };
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -330,7 +330,7 @@
     match refusal {
         Refusal::NoRoute => StatusCode::NOT_FOUND,
         Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
-        Refusal::OverQuota { .. } => StatusCode::TOO_MANY_REQUESTS,
+        Refusal::OverQuota(_) => StatusCode::TOO_MANY_REQUESTS,
         _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -9,12 +9,13 @@
 use bytes::Bytes;
 use forwarding::dispatcher::Refusal;
 use forwarding::release::Limits;
+use forwarding::request::Request;
 use futures_util::stream;
 use gotham::handler::{Handler, HandlerFuture, HandlerResult, NewHandler};
 use gotham::helpers::http::Body;
 use gotham::state::{FromState, State};
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
@@ -92,7 +93,7 @@
 
 async fn respond(
     context: Context,
-    request: Request<Incoming>,
+    request: http::Request<Incoming>,
     caller: SocketAddr,
 ) -> anyhow::Result<Response<Body>> {
     let mut state = State::from_request(request, caller);
@@ -139,7 +140,7 @@
     headers: HeaderMap,
     body: Body,
 ) -> Response<Body> {
-    let mut parts = Request::new(()).into_parts().0;
+    let mut parts = http::Request::new(()).into_parts().0;
     parts.method = method;
     parts.uri = uri;
     parts.headers = headers;
@@ -167,6 +168,7 @@
         Ok(ticket) => ticket,
         Err(refusal) => {
             let reason = GiveUp::NotRun(refusal);
+            log_organisation(context, &request, &refusal);
             return refused(context, &request.attempt_id, arrived_at, reason);
         }
     };
@@ -254,6 +256,19 @@
     }
 }
 
+/// Says whose quota is spent, which the answer does not.
+fn log_organisation(context: &Context, request: &Request, refusal: &Refusal) {
+    let Refusal::OverQuota(shortage) = refusal else { return };
+    let release = context.dispatcher().release().cloned();
+    let Some((release, key)) = release.zip(request.key.as_ref()) else { return };
+    let Some(organisation) = release.organisation_of(key) else { return };
+    info!(context.logger, "quota spent";
+        "request" => &request.attempt_id, "organisation" => &organisation.name,
+        "quota" => ?organisation.quota, "release" => release.version,
+        "units" => shortage.units, "balance_units" => shortage.balance_units,
+        "share_percent" => shortage.share_percent);
+}
+
 fn origin_form(uri: &Uri) -> Uri {
     let path = uri.path_and_query().cloned();
     path.map_or_else(|| Uri::from_static("/"), Uri::from)
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use forwarding::dispatcher::Dispatcher;
 use forwarding::endpoints::Change;
 use platform::store::{self, Store};
 use prost::Message;
@@ -15,7 +16,7 @@
 use crate::context::Context;
 
 /// Shortest interval between two reports: quotas and loads may be off by what comes within it.
-const MIN_INTERVAL: Duration = Duration::from_millis(200);
+const MIN_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Interval added for each other gateway, which bounds a gateway's datagrams a second.
 const INTERVAL_PER_PEER: Duration = Duration::from_millis(12);
@@ -24,7 +25,10 @@
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// Windows of usage in a report.
-const REPORTED_WINDOWS: usize = 4;
+const REPORTED_WINDOWS: u64 = 3;
+
+/// Rows of usage in a report, which keep it to some kilobytes.
+const MAX_USAGE_ROWS: usize = 200;
 
 /// Time for which a departure is reported.
 const DEPARTURES_TOLD: Duration = Duration::from_secs(8);
@@ -88,9 +92,14 @@
     };
     let (now, wall) = (context.now(), context.wall());
     let mut dispatcher = context.dispatcher();
-    let source = (report.name.clone(), report.incarnation);
+    let sender = (report.name.clone(), report.incarnation);
+    let own = (dispatcher.settings.name.clone(), context.incarnation);
     for usage in &report.usage {
-        dispatcher.usage.on_report(&source, usage.window, &usage.organisation, usage.requests);
+        let departed = (usage.source.clone(), usage.source_incarnation);
+        let source = if usage.source.is_empty() { &sender } else { &departed };
+        if *source != own {
+            dispatcher.usage.on_report(source, usage.window, &usage.organisation, usage.requests);
+        }
     }
     let mut departed = Vec::new();
     for departure in &report.departures {
@@ -141,14 +150,6 @@
             units_per_s: units_per_s as u64,
             spent_units: spent as u64,
         });
-    let windows = dispatcher.usage.own().iter().rev().take(REPORTED_WINDOWS);
-    let usage = windows.flat_map(|(&window, counts)| {
-        counts.iter().map(move |(organisation, &requests)| gossip::Usage {
-            window,
-            organisation: organisation.clone(),
-            requests,
-        })
-    });
     let departures = dispatcher.endpoints.recent_departures(now, DEPARTURES_TOLD);
     let suspects = dispatcher.suspects.told();
     gossip::Report {
@@ -160,18 +161,52 @@
         holds_lease: context.holds_lease.load(Ordering::Relaxed),
         loads: loads.collect(),
         demands: demands.collect(),
-        usage: usage.collect(),
+        usage: usage(&dispatcher, now),
         departures: departures
             .into_iter()
             .map(|(endpoint, born_ms)| gossip::Departure { endpoint, born_ms })
             .collect(),
-        arrivals: Vec::new(),
+        arrivals: arrivals(&dispatcher, now),
         suspects: suspects
             .map(|(fingerprint, breaks)| gossip::Suspect { fingerprint, breaks })
             .collect(),
     }
 }
 
+/// Own counts, and those of gateways that are gone.
+fn usage(dispatcher: &Dispatcher, now: Duration) -> Vec<gossip::Usage> {
+    let own = dispatcher.usage.own();
+    let latest = own.keys().next_back().copied().unwrap_or_default();
+    let oldest = latest.saturating_sub(REPORTED_WINDOWS);
+    let live = dispatcher.peers.live_sources(now);
+    let nobody = (String::new(), 0);
+    let counted = own.range(oldest..).map(|(&window, counts)| (&nobody, window, counts));
+    let counted = counted.chain(dispatcher.usage.of_departed(&live, oldest));
+    let rows = counted.flat_map(|(source, window, counts)| {
+        counts.iter().map(move |(organisation, &requests)| gossip::Usage {
+            window,
+            organisation: organisation.clone(),
+            requests,
+            source: source.0.clone(),
+            source_incarnation: source.1,
+        })
+    });
+    rows.take(MAX_USAGE_ROWS).collect()
+}
+
+fn arrivals(dispatcher: &Dispatcher, now: Duration) -> Vec<gossip::Arrivals> {
+    let services = dispatcher.meter.services().map(|service| {
+        let rates = dispatcher.meter.of(now, service);
+        gossip::Arrivals {
+            service: service.to_owned(),
+            tokens_per_s: rates.tokens_per_s as u64,
+            first_events_milli_per_s: (rates.first_events_per_s * 1_000.0) as u64,
+            late_milli_per_s: (rates.late_per_s * 1_000.0) as u64,
+        }
+    });
+    services.collect()
+}
+
 /// Makes this gateway known in the store and learns the others from there.
 pub(crate) async fn join(context: Context, own: SocketAddr) {
     let (address, name) = {
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -12,8 +12,9 @@
 use crate::context::Context;
 
 /// Time after SIGTERM for which requests are taken. The balancer takes a gateway out after two
-/// missed questions, one second apart.
-const LEAVING: Duration = Duration::from_millis(3_300);
+/// missed questions, one second apart; requests that come three seconds after SIGTERM must be
+/// finished within the grace time, which streams may not be.
+const LEAVING: Duration = Duration::from_millis(2_600);
 
 /// Part of the grace time that is left unused before SIGKILL.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -19,12 +19,17 @@
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Part of the release bound for which a read waits, so that a silent connection is noticed
-/// and replaced within the bound.
-const RELEASE_WAIT_DIVISOR: u32 = 3;
+/// Time for which a read of releases waits. It bounds how long a connection that went silent
+/// is not noticed; until then, the other gateways' reports tell of newer releases.
+const RELEASE_WAIT: Duration = Duration::from_millis(2_200);
 
-/// Part of the drain bound between two reads of endpoints' entries.
-const ENTRIES_PAUSE_DIVISOR: u32 = 4;
+/// Part of the drain bound between two reads of endpoints' entries; one read may fail within
+/// it, and the other gateways report what they read.
+const ENTRIES_PAUSE_DIVISOR: u32 = 2;
+
+/// Interval at which the other gateways' releases are looked at; a release comes to all within
+/// some milliseconds where nothing is wrong.
+const PEERS_PAUSE: Duration = Duration::from_millis(300);
 
 /// Heartbeat intervals without an answer after which entries may have lapsed.
 const LAPSE_HEARTBEATS: u32 = 2;
@@ -34,10 +39,7 @@
 
 /// Follows the operator's topic.
 pub(crate) async fn follow_release(context: Context) {
-    let (address, wait) = {
-        let settings = &context.dispatcher().settings;
-        (settings.store_address, settings.bounds.release_apply / RELEASE_WAIT_DIVISOR)
-    };
+    let address = context.dispatcher().settings.store_address;
     let mut store = Store::new(address);
     let mut health = StoreHealth::new("release", &context);
     loop {
@@ -53,7 +55,16 @@
         apply_release(&context, &listing.records);
         let mut next = listing.end;
         loop {
-            match store.read(store::OPERATOR_TOPIC, next, wait, CALL_TIMEOUT).await {
+            let read = store.read(store::OPERATOR_TOPIC, next, RELEASE_WAIT, CALL_TIMEOUT);
+            let read = tokio::select! {
+                read = read => read,
+                () = newer_elsewhere(&context) => {
+                    info!(context.logger, "another gateway has a newer release");
+                    store = Store::new(address);
+                    break;
+                }
+            };
+            match read {
                 Ok(Read::Records { records, next: after }) => {
                     health.on_answer(&context);
                     apply_release(&context, &records);
@@ -69,6 +80,18 @@
     }
 }
 
+/// Waits until another gateway reports a newer release.
+async fn newer_elsewhere(context: &Context) {
+    loop {
+        time::sleep(PEERS_PAUSE).await;
+        let dispatcher = context.dispatcher();
+        let own = dispatcher.release().map_or(0, |release| release.version);
+        if dispatcher.peers.release_version() > own {
+            return;
+        }
+    }
+}
+
 fn apply_release(context: &Context, records: &[Record]) {
     for record in records.iter().filter(|record| record.key == config::KEY) {
         let Some(value) = &record.value else { continue };
