--- a/forwarding/src/scaling.rs
+++ b/forwarding/src/scaling.rs
@@ -28,7 +28,11 @@
 const LATE_SHARE_HIGH: f64 = 0.06;
 
 /// Part of late first events below which the plan goes back.
-const LATE_SHARE_LOW: f64 = 0.02;
+const LATE_SHARE_LOW: f64 = 0.04;
+
+/// Part of the ordinary replicas found at the start that are taken for needed until the work
+/// is known.
+const UNKNOWN_WORK_SHARE: f64 = 0.6;
 
 /// Step by which the plan grows while first events are late.
 const GROWTH: f64 = 1.25;
@@ -131,12 +135,15 @@
     pub fn plan(&mut self, now: Duration, view: &View<'_>) -> Vec<Order> {
         let needed = self.needed(now, view);
         let reclaimable = self.reclaimable_targets(now, view, needed);
-        let ordinary = self.ordinary_targets(now, view, needed);
+        // Before there is work, the replicas of the start may still be appearing.
+        let has_work =
+            self.demands.get(view.service).is_some_and(|demand| demand.first_work_at.is_some());
+        let ordinary =
+            if has_work { self.ordinary_targets(now, view, needed) } else { Counts::new() };
         let mut orders = Vec::new();
         for (targets, is_reclaimable) in [(reclaimable, true), (ordinary, false)] {
             for (data_centre, replicas) in targets {
-                let service = view.service.to_owned();
-                let place = Place { service, data_centre, is_reclaimable };
+                let place = place(view, &data_centre, is_reclaimable);
                 if self.must_order(now, view, &place, replicas) {
                     orders.push(Order { place, replicas });
                 }
@@ -180,7 +187,12 @@
         });
         demand.update(now, &view.arrivals);
         let replicas = demand.peak_tokens_per_s / TOKENS_PER_REPLICA_S * demand.growth;
-        (replicas + SPARE_REPLICAS).ceil().max(2.0) as u32
+        let needed = (replicas + SPARE_REPLICAS).ceil().max(2.0);
+        if demand.is_known(now) {
+            return needed as u32;
+        }
+        let present: u32 = count(view, false).values().sum();
+        needed.max(f64::from(present) * UNKNOWN_WORK_SHARE) as u32
     }
 
     fn reclaimable_targets(&self, now: Duration, view: &View<'_>, needed: u32) -> Counts {
@@ -193,8 +205,7 @@
         let each = needed.div_ceil(remaining).clamp(1, scaling.max_replicas);
         let present = count(view, true);
         let targets = scaling.prices.keys().map(|data_centre| {
-            let service = view.service.to_owned();
-            let place = Place { service, data_centre: data_centre.clone(), is_reclaimable: true };
+            let place = place(view, data_centre, true);
             let is_refused = self.refused_until.get(&place).is_some_and(|&until| now < until);
             let present = present.get(data_centre).copied().unwrap_or_default();
             (data_centre.clone(), if is_refused { present } else { each })
@@ -202,40 +213,65 @@
         targets.collect()
     }
 
+    /// Changes as few ordinary replicas as possible: added where they are cheap, given up
+    /// where they are dear.
     fn ordinary_targets(&mut self, now: Duration, view: &View<'_>, needed: u32) -> Counts {
         let scaling = view.scaling;
-        let present_reclaimable = count(view, true);
+        let reclaimable = count(view, true);
         let present = count(view, false);
-        let live: u32 = present_reclaimable.values().sum();
+        let mut targets: Counts = scaling
+            .prices
+            .keys()
+            .map(|name| (name.clone(), self.standing(now, view, &present, name)))
+            .collect();
+        let total: u32 = targets.values().sum();
         let base = (f64::from(needed) * ORDINARY_SHARE).ceil() as u32;
-        let wanted = base.max(needed.saturating_sub(live));
-        let total: u32 = present.values().sum();
-        let wanted = self.shrink_slowly(now, view.service, wanted, total);
+        let live: u32 = reclaimable.values().sum();
+        let wanted = self.shrink_slowly(now, view, base.max(needed.saturating_sub(live)), total);
         let mut by_price: Vec<(&String, f64)> =
             scaling.prices.iter().map(|(name, &price)| (name, price)).collect();
         by_price.sort_by(|left, right| left.1.total_cmp(&right.1));
-        let mut left = wanted;
-        let mut targets = Counts::new();
-        for (data_centre, _) in by_price {
-            let others = present_reclaimable.get(data_centre).copied().unwrap_or_default();
-            let room = scaling.max_replicas.saturating_sub(others);
+        let mut missing = wanted.saturating_sub(total);
+        let mut surplus = total.saturating_sub(wanted);
+        for (name, _) in &by_price {
+            let others = reclaimable.get(*name).copied().unwrap_or_default();
+            let target = targets.entry((*name).clone()).or_default();
+            let least = scaling.min_replicas.saturating_sub(others);
+            let room = scaling.max_replicas.saturating_sub(others + *target);
+            let added = missing.min(room).max(least.saturating_sub(*target));
+            *target += added;
+            missing = missing.saturating_sub(added);
+        }
+        for (name, _) in by_price.iter().rev() {
+            let others = reclaimable.get(*name).copied().unwrap_or_default();
+            let target = targets.entry((*name).clone()).or_default();
             let least = scaling.min_replicas.saturating_sub(others);
-            let replicas = left.min(room).max(least);
-            left = left.saturating_sub(replicas);
-            targets.insert(data_centre.clone(), replicas);
+            let removed = surplus.min(target.saturating_sub(least));
+            *target -= removed;
+            surplus -= removed;
         }
         targets
     }
 
+    /// Ordinary replicas of a data centre, those just ordered included.
+    fn standing(&self, now: Duration, view: &View<'_>, present: &Counts, name: &str) -> u32 {
+        let present = present.get(name).copied().unwrap_or_default();
+        match self.ordered.get(&place(view, name, false)) {
+            Some(ordered) if now < ordered.at + view.scaling.boot + REPEAT_DELAY => {
+                ordered.replicas
+            }
+            _ => present,
+        }
+    }
+
     /// Keeps ordinary replicas until fewer have sufficed for a while.
-    fn shrink_slowly(&mut self, now: Duration, service: &str, wanted: u32, total: u32) -> u32 {
-        let first_work_at = self.demands.get(service).and_then(|demand| demand.first_work_at);
-        let is_work_known = first_work_at.is_some_and(|at| now >= at + FIRST_SHRINK_DELAY);
+    fn shrink_slowly(&mut self, now: Duration, view: &View<'_>, wanted: u32, total: u32) -> u32 {
+        let is_work_known = self.demands.get(view.service).is_some_and(|each| each.is_known(now));
         if wanted >= total || !is_work_known {
-            self.surplus_since.remove(service);
+            self.surplus_since.remove(view.service);
             return wanted.max(total);
         }
-        let since = *self.surplus_since.entry(service.to_owned()).or_insert(now);
+        let since = *self.surplus_since.entry(view.service.to_owned()).or_insert(now);
         if now >= since + SHRINK_DELAY { wanted } else { total }
     }
 
@@ -255,13 +291,22 @@
     }
 }
 
+fn place(view: &View<'_>, data_centre: &str, is_reclaimable: bool) -> Place {
+    Place { service: view.service.to_owned(), data_centre: data_centre.to_owned(), is_reclaimable }
+}
+
 impl Demand {
+    /// Whether the work was seen for long enough to give replicas up.
+    fn is_known(&self, now: Duration) -> bool {
+        self.first_work_at.is_some_and(|at| now >= at + FIRST_SHRINK_DELAY)
+    }
+
     fn update(&mut self, now: Duration, arrivals: &Arrivals) {
         let elapsed = now.saturating_sub(self.at).as_secs_f64();
         self.at = now;
         let faded = self.peak_tokens_per_s * (-elapsed / PEAK_FADES.as_secs_f64()).exp();
         self.peak_tokens_per_s = faded.max(arrivals.tokens_per_s);
-        if arrivals.first_events_per_s > 1.0 {
+        if arrivals.tokens_per_s > 0.0 {
             self.first_work_at.get_or_insert(now);
         }
         if now < self.grown_at + GROWTH_INTERVAL {
