Let three gateways follow the endpoints' entries for all

Three gateways read and report joins and departures; the others compare a hash of what they know with the readers' and list once where it differs from all of them for 1.8 s, or read themselves while they hear of fewer than two.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -10,6 +10,7 @@
 use crate::endpoints::{EndpointId, Table};
 use crate::peers::Peers;
 use crate::quota::{self, Accounts};
+use crate::readers::Reading;
 use crate::release::{Kind, Release};
 use crate::request::{Prompt, Request};
 use crate::retry_budget::RetryBudget;
@@ -191,6 +192,8 @@
     pub usage: Usage,
     /// Requests that may crash endpoints.
     pub suspects: Suspects,
+    /// Whether this gateway follows the endpoints' entries in the store.
+    pub reading: Reading,
     /// Work asked of services with model engines.
     pub meter: Meter,
     release: Option<Arc<Release>>,
@@ -207,6 +210,7 @@
             accounts: Accounts::default(),
             usage: Usage::default(),
             suspects: Suspects::default(),
+            reading: Reading::default(),
             meter: Meter::default(),
             release: None,
             budget: RetryBudget::default(),
@@ -233,6 +237,15 @@
         release.services.keys().any(|service| self.endpoints.of_service(service).next().is_some())
     }
 
+    /// Decides whether this gateway follows the endpoints' entries in the store from now on.
+    pub fn update_reading(&mut self, now: Duration) -> Reading {
+        let rank = self.peers.rank_of(now, &self.settings.name);
+        let readers = self.peers.entry_readers(now);
+        let is_alike = self.peers.has_reader_with(now, self.endpoints.hash());
+        self.reading = self.reading.next(now, rank, readers, is_alike);
+        self.reading
+    }
+
     /// Admits a request to its route.
     pub fn admit(
         &mut self,
--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use rhubarbrock::health::{self, Health, Standing};
+use xxhash_rust::xxh3;
 
 use crate::release::ServiceName;
 
@@ -279,6 +280,19 @@
         lapsed.into_iter().map(|(id, _)| id).collect()
     }
 
+    /// Endpoints that joined within the last `window`, for other gateways.
+    pub fn recently_joined(&self, now: Duration, window: Duration) -> Vec<&Endpoint> {
+        self.endpoints.values().filter(|endpoint| now < endpoint.joined_at + window).collect()
+    }
+
+    /// Hash over all endpoints and their starts, alike wherever the same ones are known.
+    pub fn hash(&self) -> u64 {
+        self.endpoints.values().fold(0, |hash, endpoint| {
+            let entry = &endpoint.entry;
+            hash ^ xxh3::xxh3_64_with_seed(entry.id.as_bytes(), entry.born_ms)
+        })
+    }
+
     /// Departures of the last `window`, for other gateways.
     pub fn recent_departures(&self, now: Duration, window: Duration) -> Vec<(EndpointId, BornMs)> {
         self.departures
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod lease;
 pub mod peers;
 pub mod quota;
+pub mod readers;
 pub mod release;
 pub mod request;
 pub mod retry_budget;
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -110,6 +110,17 @@
         self.peers.values().map(|peer| peer.report.release_version).max().unwrap_or_default()
     }
 
+    /// Number of live gateways that follow the endpoints' entries in the store.
+    pub fn entry_readers(&self, now: Duration) -> u32 {
+        self.live(now).filter(|peer| peer.report.reads_entries).count() as u32
+    }
+
+    /// Whether a live gateway that follows the entries knows just the endpoints of `hash`.
+    pub fn has_reader_with(&self, now: Duration, hash: u64) -> bool {
+        let mut readers = self.live(now).filter(|peer| peer.report.reads_entries);
+        readers.any(|peer| peer.report.endpoints_hash == hash)
+    }
+
     /// Whether a gateway that was heard lately holds the lease on the duties.
     pub fn has_lease_holder(&self, now: Duration) -> bool {
         self.live(now).any(|peer| peer.report.holds_lease)
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use forwarding::dispatcher::Dispatcher;
-use forwarding::endpoints::Change;
+use forwarding::endpoints::{Change, Entry};
 use platform::store::{self, Store};
 use prost::Message;
 use rhubarbrock_schema::gossip;
@@ -19,7 +19,13 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Interval added for each other gateway, which bounds a gateway's datagrams a second.
-const INTERVAL_PER_PEER: Duration = Duration::from_millis(12);
+const INTERVAL_PER_PEER: Duration = Duration::from_millis(8);
+
+/// Time for which an endpoint that joined is reported.
+const JOINED_TOLD: Duration = Duration::from_secs(3);
+
+/// Joined endpoints in a report, about seventy bytes each.
+const MAX_JOINED: usize = 12;
 
 /// Longest datagram that is read, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
@@ -116,9 +122,20 @@
             departed.push(departure.endpoint.clone());
         }
     }
+    let mut joined = Vec::new();
+    for row in &report.joined {
+        let Some(entry) = entry(row) else { continue };
+        if dispatcher.endpoints.on_entry(now, entry) == Change::Joined {
+            joined.push(row.endpoint.clone());
+        }
+    }
     let name = report.name.clone();
     dispatcher.peers.on_report(now, wall, from, report);
     drop(dispatcher);
+    for id in joined {
+        info!(context.logger, "endpoint joined, another gateway says";
+            "endpoint" => id, "source" => &name);
+    }
     for id in departed {
         info!(context.logger, "endpoint leaves, another gateway says";
             "endpoint" => id, "source" => &name);
@@ -166,6 +183,7 @@
         });
     let departures = dispatcher.endpoints.recent_departures(now, DEPARTURES_TOLD);
     let suspects = dispatcher.suspects.told();
+    let is_reader = dispatcher.reading.is_reader();
     gossip::Report {
         name: dispatcher.settings.name.clone(),
         incarnation: context.incarnation,
@@ -182,6 +200,9 @@
             .map(|(endpoint, born_ms)| gossip::Departure { endpoint, born_ms })
             .collect(),
         arrivals: arrivals(&dispatcher, now),
+        reads_entries: is_reader,
+        joined: if is_reader { joined(&dispatcher, now, sequence) } else { Vec::new() },
+        endpoints_hash: dispatcher.endpoints.hash(),
         suspects: suspects
             .map(|(fingerprint, breaks)| gossip::Suspect { fingerprint, breaks })
             .collect(),
@@ -209,6 +230,43 @@
     rows.take(MAX_USAGE_ROWS).collect()
 }
 
+/// Endpoints that joined lately, different ones in each report if they are many.
+fn joined(dispatcher: &Dispatcher, now: Duration, sequence: u64) -> Vec<gossip::Joined> {
+    let endpoints = dispatcher.endpoints.recently_joined(now, JOINED_TOLD);
+    let first = (sequence as usize * MAX_JOINED) % endpoints.len().max(1);
+    let rows = endpoints.iter().cycle().skip(first).take(MAX_JOINED.min(endpoints.len()));
+    let rows = rows.map(|endpoint| {
+        let entry = &endpoint.entry;
+        gossip::Joined {
+            endpoint: entry.id.clone(),
+            service: entry.service.clone(),
+            address: entry.address.to_string(),
+            data_centre: entry.data_centre.clone(),
+            capacity: entry.capacity,
+            is_reclaimable: entry.is_reclaimable,
+            warm_up_ms: entry.warm_up.as_millis() as u64,
+            born_ms: entry.born_ms,
+            sequence: entry.sequence,
+        }
+    });
+    rows.collect()
+}
+
+fn entry(row: &gossip::Joined) -> Option<Entry> {
+    Some(Entry {
+        id: row.endpoint.clone(),
+        service: row.service.clone(),
+        address: row.address.parse().ok()?,
+        data_centre: row.data_centre.clone(),
+        capacity: row.capacity,
+        is_leaving: false,
+        is_reclaimable: row.is_reclaimable,
+        warm_up: Duration::from_millis(row.warm_up_ms),
+        born_ms: row.born_ms,
+        sequence: row.sequence,
+    })
+}
+
 fn arrivals(dispatcher: &Dispatcher, now: Duration) -> Vec<gossip::Arrivals> {
     let services = dispatcher.meter.services().map(|service| {
         let rates = dispatcher.meter.of(now, service);
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use forwarding::endpoints::{Change, Entry};
+use forwarding::readers::Reading;
 use platform::store::{self, Listing, Read, Record, Store, StoreError};
 use platform::{config, replicas};
 use slog::{info, warn};
@@ -55,6 +56,13 @@
         apply_release(&context, &listing.records);
         let mut next = listing.end;
         loop {
+            if !context.dispatcher().reading.is_reader() {
+                // The others' reports tell of a newer release, or fall silent.
+                tokio::select! {
+                    () = newer_elsewhere(&context) => break,
+                    () = reader_again(&context) => {}
+                }
+            }
             let read = store.read(store::OPERATOR_TOPIC, next, RELEASE_WAIT, CALL_TIMEOUT);
             let read = tokio::select! {
                 read = read => read,
@@ -80,6 +88,13 @@
     }
 }
 
+/// Waits until this gateway has to follow the store itself.
+async fn reader_again(context: &Context) {
+    while !context.dispatcher().reading.is_reader() {
+        time::sleep(PEERS_PAUSE).await;
+    }
+}
+
 /// Waits until another gateway reports a newer release.
 async fn newer_elsewhere(context: &Context) {
     loop {
@@ -131,6 +146,11 @@
         apply_listing(&context, &listing);
         let mut next = listing.end;
         loop {
+            if !update_reading(&context).is_reader() {
+                wait_until_reader(&context).await;
+                health = StoreHealth::new("endpoints", &context);
+                break;
+            }
             match store.read(store::REPLICAS_TOPIC, next, pause, CALL_TIMEOUT).await {
                 Ok(Read::Records { records, next: after }) => {
                     health.on_answer(&context);
@@ -148,6 +168,35 @@
     }
 }
 
+fn update_reading(context: &Context) -> Reading {
+    let now = context.now();
+    let mut dispatcher = context.dispatcher();
+    let was_reader = dispatcher.reading.is_reader();
+    let reading = dispatcher.update_reading(now);
+    let readers = dispatcher.peers.entry_readers(now);
+    drop(dispatcher);
+    if reading.is_reader() != was_reader {
+        info!(context.logger, "reading of endpoints' entries changes";
+            "is_reader" => reading.is_reader(), "other_readers" => readers);
+    }
+    reading
+}
+
+/// Waits until this gateway has to follow the entries itself, or to list them once.
+async fn wait_until_reader(context: &Context) {
+    loop {
+        time::sleep(PEERS_PAUSE).await;
+        let must_list = context.dispatcher().reading.must_list(context.now());
+        if update_reading(context).is_reader() || must_list {
+            return;
+        }
+        let lapsed = context.dispatcher().endpoints.tick(context.now());
+        for id in lapsed {
+            log_change(context, &id, Change::Gone);
+        }
+    }
+}
+
 fn apply_listing(context: &Context, listing: &Listing) {
     let entries = listing.records.iter().filter_map(|record| decode_entry(context, record));
     let entries: Vec<Entry> = entries.collect();
