--- a/forwarding/src/choice.rs
+++ b/forwarding/src/choice.rs
@@ -32,6 +32,10 @@
 /// between data centres makes a stream late.
 const DISTANCE_TOKENS_PER_OUTPUT: f64 = 4.0;
 
+/// Cost of an endpoint that always fails, in full batches of load: enough to be avoided unless
+/// the others are busy.
+const FAILURE_COST: f64 = 2.0;
+
 /// Cost factor of an endpoint that is slow after its start.
 const WARM_UP_FACTOR: f64 = 3.0;
 
@@ -109,7 +113,10 @@
         let load = f64::from(endpoint.requests()) + 1.0;
         let distance =
             if endpoint.entry.data_centre == question.data_centre { 0.0 } else { DISTANCE_COST };
-        (load + distance) / capacity * warm_up_factor(endpoint, now) + full_cost(endpoint)
+        let failures = endpoint.failure_share * FAILURE_COST;
+        (load + distance) / capacity * warm_up_factor(endpoint, now)
+            + failures
+            + full_cost(endpoint)
     });
     lowest(costs, &candidates)
 }
--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -392,7 +392,11 @@
                 self.suspects.on_break(now, ticket.fingerprint);
                 self.endpoints.on_failure(now, &target.id)
             }
-            Outcome::Misdirected | Outcome::Unreachable | Outcome::TimedOut | Outcome::Failed => {
+            Outcome::Failed => {
+                self.endpoints.on_own_failure(&target.id);
+                false
+            }
+            Outcome::Misdirected | Outcome::Unreachable | Outcome::TimedOut => {
                 self.endpoints.on_failure(now, &target.id)
             }
         }
--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -31,6 +31,9 @@
 /// Weight of a new sample in an endpoint's mean latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
+/// Weight of a new answer in an endpoint's share of failures, which looks back some ten.
+const FAILURE_WEIGHT: f64 = 0.1;
+
 /// Ejections: two failures in a row, as one may be the request's own fault, and short,
 /// as most troubles of an endpoint last some seconds.
 const HEALTH: health::Settings = health::Settings {
@@ -99,6 +102,8 @@
     pub peer_load: Load,
     /// Mean time to the first byte of an answer.
     pub latency: Option<Duration>,
+    /// Part of its recent answers that were failures of its own.
+    pub failure_share: f64,
     /// Whether it sent bytes that belong to no answer, so that its connections are not reused.
     pub is_untidy_until: Option<Duration>,
     health: Health,
@@ -345,10 +350,19 @@
             None => latency,
             Some(mean) => mean.mul_f64(1.0 - LATENCY_WEIGHT) + latency.mul_f64(LATENCY_WEIGHT),
         });
+        endpoint.failure_share *= 1.0 - FAILURE_WEIGHT;
         endpoint.refuses_until = None;
         endpoint.health.on_success()
     }
 
+    /// An endpoint answered with a failure of its own, which may be the request's fault.
+    pub fn on_own_failure(&mut self, id: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.failure_share += (1.0 - endpoint.failure_share) * FAILURE_WEIGHT;
+            endpoint.health.on_unknown();
+        }
+    }
+
     /// A request ended without showing whether its endpoint is sound.
     pub fn on_unknown(&mut self, id: &str) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
@@ -392,6 +406,7 @@
             own_load: Load::default(),
             peer_load: Load::default(),
             latency: None,
+            failure_share: 0.0,
             is_untidy_until: None,
             health: Health::default(),
             joined_at: now,
--- a/forwarding/tests/endpoints.rs
+++ b/forwarding/tests/endpoints.rs
@@ -88,3 +88,15 @@
     assert!(table.on_success("a", ms(5)));
     assert!(table.get("a").unwrap().is_sound(ms(2_010)));
 }
+
+#[test]
+fn an_endpoint_s_own_failures_make_it_dear_but_do_not_eject_it() {
+    let mut table = Table::default();
+    table.on_entry(ms(0), entry("a", SERVICE, 5, 1));
+    for _ in 0..20 {
+        table.on_own_failure("a");
+    }
+    let endpoint = table.get("a").unwrap();
+    assert!(endpoint.is_sound(ms(10)));
+    assert!(endpoint.failure_share > 0.8, "{}", endpoint.failure_share);
+}
