--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -32,7 +32,7 @@
 /// some milliseconds where nothing is wrong.
 const PEERS_PAUSE: Duration = Duration::from_millis(300);
 
-/// Heartbeat intervals without an answer after which entries may have lapsed.
+/// Heartbeat intervals without the store after which entries may have lapsed.
 const LAPSE_HEARTBEATS: u32 = 2;
 
 /// Longest line of a malformed record that is logged, in bytes.
@@ -253,38 +253,35 @@
 /// Whether the store answers, as one follower sees it.
 struct StoreHealth {
     topic: &'static str,
-    answered_at: Duration,
-    is_lost: bool,
+    lost_since: Option<Duration>,
     lapse_after: Duration,
 }
 
 impl StoreHealth {
     fn new(topic: &'static str, context: &Context) -> StoreHealth {
         let lapse_after = context.dispatcher().settings.heartbeat * LAPSE_HEARTBEATS;
-        StoreHealth { topic, answered_at: context.now(), is_lost: false, lapse_after }
+        StoreHealth { topic, lost_since: None, lapse_after }
     }
 
     fn on_answer(&mut self, context: &Context) {
+        let Some(lost_since) = self.lost_since.take() else { return };
         let now = context.now();
-        let silent = now.saturating_sub(self.answered_at);
-        if silent > self.lapse_after {
+        let lost = now.saturating_sub(lost_since);
+        let may_have_lapsed = lost > self.lapse_after;
+        if may_have_lapsed {
             let endpoints = &mut context.dispatcher().endpoints;
             endpoints.on_store_lost();
             endpoints.on_store_back(now);
         }
-        if self.is_lost {
-            info!(context.logger, "store answers again"; "topic" => self.topic,
-                "silent_ms" => silent.as_millis() as u64);
-        }
-        self.is_lost = false;
-        self.answered_at = now;
+        info!(context.logger, "store answers again"; "topic" => self.topic,
+            "lost_ms" => lost.as_millis() as u64, "entries_may_have_lapsed" => may_have_lapsed);
     }
 
     fn on_error(&mut self, context: &Context, error: &StoreError) {
         metrics::counter!("gateway_store_failures_total").increment(1);
-        if !self.is_lost {
+        if self.lost_since.is_none() {
             warn!(context.logger, "store lost"; "topic" => self.topic, "error" => %error);
+            self.lost_since = Some(context.now());
         }
-        self.is_lost = true;
     }
 }
