--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -151,7 +151,7 @@
 pub struct Table {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     latest: HashMap<EndpointId, (BornMs, u64)>,
-    departures: HashMap<EndpointId, Departure>,
+    departures: BTreeMap<EndpointId, Departure>,
     store_back_at: Option<Duration>,
     is_store_away: bool,
 }
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -42,9 +42,8 @@
 /// Time for which a departure is reported: a few reports, as some are lost.
 const DEPARTURES_TOLD: Duration = Duration::from_millis(2_500);
 
-/// Departures in a report; more at once are a data centre's reclaim, which each gateway reads
-/// in the store within its bound.
-const MAX_DEPARTURES: usize = 24;
+/// Departures in a report, about twenty bytes each.
+const MAX_DEPARTURES: usize = 32;
 
 /// Time limit of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
@@ -194,9 +193,8 @@
         loads: loads.collect(),
         demands: demands.collect(),
         usage: Vec::new(),
-        departures: departures
+        departures: by_turns(departures, MAX_DEPARTURES, sequence)
             .into_iter()
-            .take(MAX_DEPARTURES)
             .map(|(endpoint, born_ms)| gossip::Departure { endpoint, born_ms })
             .collect(),
         arrivals: arrivals(&dispatcher, now),
@@ -230,11 +228,20 @@
     rows.take(MAX_USAGE_ROWS).collect()
 }
 
-/// Endpoints that joined lately, different ones in each report if they are many.
+/// At most `count` of `rows`, the next ones in each report, so that all are told by turns.
+fn by_turns<T>(mut rows: Vec<T>, count: usize, sequence: u64) -> Vec<T> {
+    if rows.len() > count {
+        let first = (sequence as usize).wrapping_mul(count) % rows.len();
+        rows.rotate_left(first);
+        rows.truncate(count);
+    }
+    rows
+}
+
+/// Endpoints that joined lately.
 fn joined(dispatcher: &Dispatcher, now: Duration, sequence: u64) -> Vec<gossip::Joined> {
     let endpoints = dispatcher.endpoints.recently_joined(now, JOINED_TOLD);
-    let first = (sequence as usize * MAX_JOINED) % endpoints.len().max(1);
-    let rows = endpoints.iter().cycle().skip(first).take(MAX_JOINED.min(endpoints.len()));
+    let rows = by_turns(endpoints, MAX_JOINED, sequence).into_iter();
     let rows = rows.map(|endpoint| {
         let entry = &endpoint.entry;
         gossip::Joined {
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -24,9 +24,9 @@
 /// is not noticed; until then, the other gateways' reports tell of newer releases.
 const RELEASE_WAIT: Duration = Duration::from_millis(2_200);
 
-/// Part of the drain bound between two reads of endpoints' entries; one read may fail within
-/// it, and the other gateways report what they read.
-const ENTRIES_PAUSE_DIVISOR: u32 = 2;
+/// Part of the drain bound between two reads of endpoints' entries; the rest is for a read that
+/// fails, and for the reports that tell the other gateways.
+const ENTRIES_PAUSE_DIVISOR: u32 = 4;
 
 /// Interval at which the other gateways' releases are looked at; a release comes to all within
 /// some milliseconds where nothing is wrong.
