Let reclaimable replicas take over before callers come

Once those of the start have all appeared and as many reclaimable ones serve, two fifths stay until the work is known.

--- a/forwarding/src/scaling.rs
+++ b/forwarding/src/scaling.rs
@@ -35,6 +35,13 @@
 /// is known.
 const UNKNOWN_WORK_SHARE: f64 = 0.6;
 
+/// Part of the ordinary replicas found at the start that stay until the work is known.
+const KEPT_SHARE: f64 = 0.4;
+
+/// Time without a new ordinary replica after which those of the start have all appeared: three
+/// heartbeats.
+const START_SETTLED: Duration = Duration::from_millis(3_600);
+
 /// Prompt tokens that wait at a replica, on average, above which more replicas help: what one
 /// reads in some 50 ms. First events are late for other reasons where less waits.
 const WAITING_TOKENS_HIGH: u64 = 4_000;
@@ -115,6 +122,9 @@
     growth: f64,
     grown_at: Duration,
     first_work_at: Option<Duration>,
+    /// Most ordinary replicas seen before the work was known.
+    found_replicas: u32,
+    found_at: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -144,9 +154,8 @@
         let needed = self.needed(now, view);
         let reclaimable = self.reclaimable_targets(now, view, needed);
         // Before there is work, the replicas of the start may still be appearing.
-        let has_work =
-            self.demands.get(view.service).is_some_and(|demand| demand.first_work_at.is_some());
-        let ordinary = if has_work {
+        let may_order = self.demands.get(view.service).is_some_and(|each| each.is_settled(now));
+        let ordinary = if may_order {
             self.ordinary_targets(now, view, needed, &reclaimable)
         } else {
             Counts::new()
@@ -206,6 +215,8 @@
             growth: 1.0,
             grown_at: now,
             first_work_at: None,
+            found_replicas: 0,
+            found_at: now,
         });
         let waiting: u64 = view.endpoints.iter().map(|each| each.waiting_tokens()).sum();
         let is_short = waiting > WAITING_TOKENS_HIGH * view.endpoints.len() as u64;
@@ -216,7 +227,11 @@
             return needed as u32;
         }
         let present: u32 = count(view, false).values().sum();
-        needed.max(f64::from(present) * UNKNOWN_WORK_SHARE) as u32
+        if present > demand.found_replicas {
+            demand.found_replicas = present;
+            demand.found_at = now;
+        }
+        needed.max(f64::from(demand.found_replicas) * UNKNOWN_WORK_SHARE) as u32
     }
 
     fn reclaimable_targets(&self, now: Duration, view: &View<'_>, needed: u32) -> Counts {
@@ -311,8 +326,9 @@
 
     /// Keeps ordinary replicas until fewer have sufficed for a while.
     fn shrink_slowly(&mut self, now: Duration, view: &View<'_>, wanted: u32, total: u32) -> u32 {
-        let is_work_known = self.demands.get(view.service).is_some_and(|each| each.is_known(now));
-        if wanted >= total || !is_work_known {
+        let kept = self.demands.get(view.service).map_or(total, |each| each.kept(now));
+        let wanted = wanted.max(kept);
+        if wanted >= total {
             self.surplus_since.remove(view.service);
             return wanted.max(total);
         }
@@ -342,6 +358,18 @@
 }
 
 impl Demand {
+    /// Whether there is work, or the replicas of the start have all appeared.
+    fn is_settled(&self, now: Duration) -> bool {
+        let have_appeared = self.found_replicas > 0 && now >= self.found_at + START_SETTLED;
+        self.first_work_at.is_some() || have_appeared
+    }
+
+    /// Ordinary replicas that stay whatever the plan says, until the work is known.
+    fn kept(&self, now: Duration) -> u32 {
+        let share = if self.is_known(now) { 0.0 } else { KEPT_SHARE };
+        (f64::from(self.found_replicas) * share).ceil() as u32
+    }
+
     /// Whether the work was seen for long enough to give replicas up.
     fn is_known(&self, now: Duration) -> bool {
         self.first_work_at.is_some_and(|at| now >= at + FIRST_SHRINK_DELAY)
