--- a/forwarding/src/release.rs
+++ b/forwarding/src/release.rs
@@ -45,8 +45,6 @@
     pub latency_target: Duration,
     /// Longest pause between events that callers expect.
     pub gap_target: Duration,
-    /// Rank; 0 is the highest.
-    pub priority: u8,
     /// Services by weight.
     pub destinations: Vec<Destination>,
     /// Most endpoints that one request may run on.
@@ -140,8 +138,6 @@
 pub struct Organisation {
     /// Name.
     pub name: String,
-    /// Rank that goes before the route's, if it has one.
-    pub priority: Option<u8>,
     /// Quota, if it has one.
     pub quota: Option<Quota>,
 }
--- a/forwarding/tests/event_stream.rs
+++ b/forwarding/tests/event_stream.rs
@@ -3,7 +3,10 @@
 use bolero::check;
 use forwarding::event_stream::{Position, Splitter, StreamError};
 
-fn events(pieces: &[&[u8]]) -> (Vec<(Option<u64>, Vec<u8>)>, bool) {
+/// Ids and bytes of the events, and whether an unfinished one is left.
+type Found = (Vec<(Option<u64>, Vec<u8>)>, bool);
+
+fn events(pieces: &[&[u8]]) -> Found {
     let mut splitter = Splitter::default();
     let mut found = Vec::new();
     for piece in pieces {
--- a/forwarding/tests/support/mod.rs
+++ b/forwarding/tests/support/mod.rs
@@ -64,7 +64,7 @@
 pub(crate) fn organisation(name: &str, units_per_s: f64) -> Organisation {
     let unit = Unit::Tokens { unnamed_tokens: 200.0 };
     let quota = Quota { units_per_s, burst_units: units_per_s, unit };
-    Organisation { name: name.to_owned(), priority: None, quota: Some(quota) }
+    Organisation { name: name.to_owned(), quota: Some(quota) }
 }
 
 pub(crate) fn route(path_prefix: &str, kind: Kind, service: &str) -> Route {
@@ -76,7 +76,6 @@
         timeout: ms(5_000),
         latency_target: ms(500),
         gap_target: ms(300),
-        priority: 0,
         destinations: vec![Destination { service: service.to_owned(), weight: 1 }],
         max_attempts: 2,
         is_public: false,
