--- a/forwarding/src/event_stream.rs
+++ b/forwarding/src/event_stream.rs
@@ -11,7 +11,7 @@
 /// Why a stream cannot be passed on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
 pub enum StreamError {
-    /// An event exceeds [`MAX_EVENT_BYTES`].
+    /// An event is longer than any that is passed on.
     #[display("an event exceeds {MAX_EVENT_BYTES} bytes")]
     TooLong,
     /// An event's id doesn't follow the one before.
