Use one filter by service, an atomic flag, and one map lookup

Found on a last reading: the choice filtered endpoints by service beside Table::of_service, the retry budget looked a service up three times, and the flag for stray bytes was a mutex around a bool. No behaviour changes.

--- a/forwarding/src/choice.rs
+++ b/forwarding/src/choice.rs
@@ -61,8 +61,7 @@
     question: &Question<'_>,
 ) -> Option<&'t Endpoint> {
     let candidates: Vec<&Endpoint> = table
-        .iter()
-        .filter(|endpoint| endpoint.entry.service == question.service)
+        .of_service(question.service)
         .filter(|endpoint| !question.tried.contains(&endpoint.entry.id))
         .collect();
     let sound: Vec<&Endpoint> =
--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -313,7 +313,10 @@
     }
 
     /// Endpoints of one service.
-    pub fn of_service<'t>(&'t self, service: &'t str) -> impl Iterator<Item = &'t Endpoint> {
+    pub fn of_service<'t, 's>(
+        &'t self,
+        service: &'s str,
+    ) -> impl Iterator<Item = &'t Endpoint> + use<'t, 's> {
         self.endpoints.values().filter(move |endpoint| endpoint.entry.service == service)
     }
 
--- a/forwarding/src/retry_budget.rs
+++ b/forwarding/src/retry_budget.rs
@@ -55,9 +55,6 @@
     fn step(&mut self, now: Duration, bounds: &Bounds, service: &str) -> &mut Step {
         let length = (bounds.retry_window / STEPS).max(Duration::from_millis(1));
         let index = (now.as_nanos() / length.as_nanos()) as u64;
-        if !self.services.contains_key(service) {
-            self.services.insert(service.to_owned(), VecDeque::new());
-        }
         let steps = self.services.entry(service.to_owned()).or_default();
         while steps.front().is_some_and(|step| step.index + u64::from(STEPS) <= index) {
             steps.pop_front();
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to endpoints, kept between requests.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -37,7 +38,7 @@
     /// Whether it carried a request before.
     pub(crate) is_reused: bool,
     task: AbortHandle,
-    stray: Arc<Mutex<bool>>,
+    has_stray_bytes: Arc<AtomicBool>,
 }
 
 impl Drop for Connection {
@@ -112,7 +113,10 @@
         let mut untidy = Vec::new();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         for (id, connections) in idle.iter_mut() {
-            if connections.iter().any(|each| each.connection.has_stray_bytes()) {
+            if connections
+                .iter()
+                .any(|each| each.connection.has_stray_bytes.load(Ordering::Relaxed))
+            {
                 untidy.push(id.clone());
             }
             connections.retain(|each| now < each.until && !each.connection.sender.is_closed());
@@ -122,12 +126,6 @@
     }
 }
 
-impl Connection {
-    fn has_stray_bytes(&self) -> bool {
-        *self.stray.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 async fn connect(target: &Target) -> std::io::Result<Connection> {
     let connecting = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(target.address));
     let stream = connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
@@ -135,15 +133,15 @@
     socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     let (sender, connection) =
         http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
-    let stray = Arc::new(Mutex::new(false));
-    let is_stray = Arc::clone(&stray);
+    let has_stray_bytes = Arc::new(AtomicBool::new(false));
+    let found = Arc::clone(&has_stray_bytes);
     let task = tokio::spawn(async move {
         let Err(error) = connection.await else { return };
         // Bytes outside an answer have no cause in the transport.
         if std::error::Error::source(&error).is_none() && !error.is_incomplete_message() {
-            *is_stray.lock().unwrap_or_else(PoisonError::into_inner) = true;
+            found.store(true, Ordering::Relaxed);
         }
     });
     metrics::counter!("gateway_endpoint_connections_total").increment(1);
-    Ok(Connection { sender, is_reused: false, task: task.abort_handle(), stray })
+    Ok(Connection { sender, is_reused: false, task: task.abort_handle(), has_stray_bytes })
 }
