Count only readers that the store answered lately

Cause: three gateways follow the store for all.

Ruled out: lost reports (the readers' reports came through all the time), and the store being away for all (the listeners' own calls were answered).

Change: reports carry the time since the store last answered the sender's reads of releases and of entries, the older one. A reader counts while that age, with the time since its report, is under half of the shorter bound (drain, release); a reader without fresh news doesn't hold a low rank either, so the next names take over. Reads come twice in that time, so a silent connection is noticed in time; before, a read of releases waited 2.2 s, too long to leave anything of a bound of 3 s. The bound on releases is now read from the settings.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -10,7 +10,7 @@
 use crate::endpoints::{EndpointId, Table};
 use crate::peers::Peers;
 use crate::quota::{self, Accounts};
-use crate::readers::Reading;
+use crate::readers::{Reading, StoreAnswers};
 use crate::release::{Kind, Release};
 use crate::request::{Prompt, Request};
 use crate::retry_budget::RetryBudget;
@@ -190,8 +190,10 @@
     pub usage: Usage,
     /// Requests that may crash endpoints.
     pub suspects: Suspects,
-    /// Whether this gateway follows the endpoints' entries in the store.
+    /// Whether this gateway follows the store.
     pub reading: Reading,
+    /// When the store last answered this gateway's reads.
+    pub store_answers: StoreAnswers,
     /// Work asked of services with model engines.
     pub meter: Meter,
     release: Option<Arc<Release>>,
@@ -209,6 +211,7 @@
             usage: Usage::default(),
             suspects: Suspects::default(),
             reading: Reading::default(),
+            store_answers: StoreAnswers::default(),
             meter: Meter::default(),
             release: None,
             budget: RetryBudget::default(),
@@ -235,10 +238,11 @@
         release.services.keys().any(|service| self.endpoints.of_service(service).next().is_some())
     }
 
-    /// Decides whether this gateway follows the endpoints' entries in the store from now on.
+    /// Decides whether this gateway follows the store from now on.
     pub fn update_reading(&mut self, now: Duration) -> Reading {
-        let rank = self.peers.rank_of(now, &self.settings.name);
-        let readers = self.peers.entry_readers(now);
+        let freshness = self.settings.bounds.freshness();
+        let rank = self.peers.reader_rank_of(now, freshness, &self.settings.name);
+        let readers = self.peers.readers(now, freshness);
         let is_alike = self.peers.has_reader_with(now, self.endpoints.hash());
         self.reading = self.reading.next(now, rank, readers, is_alike);
         self.reading
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -32,6 +32,18 @@
     report: gossip::Report,
 }
 
+impl Peer {
+    fn is_reader(&self) -> bool {
+        self.report.reads_entries
+    }
+
+    /// Whether the store answered the gateway within the last `freshness`, as far as is known.
+    fn is_fresh(&self, now: Duration, freshness: Duration) -> bool {
+        let at_report = Duration::from_millis(self.report.store_age_ms.into());
+        at_report + now.saturating_sub(self.heard_at) < freshness
+    }
+}
+
 /// Other gateways.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -110,9 +122,17 @@
         self.peers.values().map(|peer| peer.report.release_version).max().unwrap_or_default()
     }
 
-    /// Number of live gateways that follow the endpoints' entries in the store.
-    pub fn entry_readers(&self, now: Duration) -> u32 {
-        self.live(now).filter(|peer| peer.report.reads_entries).count() as u32
+    /// Number of gateways that follow the store and heard from it within `freshness`.
+    pub fn readers(&self, now: Duration, freshness: Duration) -> u32 {
+        self.live(now).filter(|peer| peer.is_reader() && peer.is_fresh(now, freshness)).count()
+            as u32
+    }
+
+    /// Number of live gateways whose names come before `name`, without those that try to follow
+    /// the store and have heard nothing from it within `freshness`.
+    pub fn reader_rank_of(&self, now: Duration, freshness: Duration, name: &str) -> u32 {
+        let able = self.live(now).filter(|peer| !peer.is_reader() || peer.is_fresh(now, freshness));
+        able.filter(|peer| peer.report.name.as_str() < name).count() as u32
     }
 
     /// Whether a live gateway that follows the entries knows just the endpoints of `hash`.
--- a/forwarding/src/readers.rs
+++ b/forwarding/src/readers.rs
@@ -1,25 +1,26 @@
-//! Which gateways follow the endpoints' entries in the store.
+//! Which gateways follow releases and endpoints' entries in the store.
 //!
 //! Each call to the store has a price, so a few gateways read for all and
-//! report who joined and who left. The others read once more where what they
-//! know differs from every reader's view for some time, and follow the store
-//! themselves while they hear of too few readers.
+//! report the release in force, who joined and who left. The others read once
+//! more where what they know differs from every reader's view for some time,
+//! and follow the store themselves while they hear of too few readers that the
+//! store answered lately.
 
 use std::time::Duration;
 
 /// Gateways that read: one may be cut off and one restarted at the same time.
 const READERS: u32 = 3;
 
-/// Fewest other readers that must be heard for a gateway not to read.
+/// Fewest other readers with fresh news for a gateway not to read.
 const MIN_HEARD: u32 = 2;
 
 /// Time for which a gateway may know other endpoints than all readers: several reports.
 const DIFFERENCE_LIMIT: Duration = Duration::from_millis(1_800);
 
-/// What a gateway does about the entries.
+/// What a gateway does about the store.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Reading {
-    /// It follows them in the store.
+    /// It follows releases and entries in the store.
     #[default]
     Reader,
     /// It takes them from the readers' reports.
@@ -30,7 +31,7 @@
 }
 
 impl Reading {
-    /// Whether the gateway follows the entries in the store.
+    /// Whether the gateway follows the store.
     pub fn is_reader(self) -> bool {
         self == Reading::Reader
     }
@@ -41,8 +42,8 @@
         now >= since + DIFFERENCE_LIMIT
     }
 
-    /// What to do from `now` on. `rank` counts live gateways whose names come first, `readers`
-    /// the other live readers, and `is_alike` says that one of them knows the same endpoints.
+    /// What to do from `now` on. `rank` counts able gateways whose names come first, `readers`
+    /// the others with fresh news, and `is_alike` says that one of them knows the same endpoints.
     pub fn next(self, now: Duration, rank: u32, readers: u32, is_alike: bool) -> Reading {
         if rank < READERS || readers < MIN_HEARD {
             return Reading::Reader;
@@ -55,3 +56,19 @@
         Reading::Listener { differs_since }
     }
 }
+
+/// When the store last answered a gateway's reads.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct StoreAnswers {
+    /// Reads of releases.
+    pub releases: Option<Duration>,
+    /// Reads of endpoints' entries.
+    pub entries: Option<Duration>,
+}
+
+impl StoreAnswers {
+    /// Time since the older of the two, if there were both.
+    pub fn age(&self, now: Duration) -> Option<Duration> {
+        Some(now.saturating_sub(self.releases?.min(self.entries?)))
+    }
+}
--- a/forwarding/src/settings.rs
+++ b/forwarding/src/settings.rs
@@ -41,6 +41,8 @@
 pub struct Bounds {
     /// Time in which a leaving endpoint must be left alone.
     pub drain: Duration,
+    /// Time in which a release must be in force everywhere.
+    pub release: Duration,
     /// Time between SIGTERM and SIGKILL.
     pub grace: Duration,
     /// Retries allowed for each first attempt.
@@ -61,6 +63,7 @@
     fn default() -> Bounds {
         Bounds {
             drain: Duration::from_secs(2),
+            release: Duration::from_secs(2),
             grace: Duration::from_secs(8),
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
@@ -71,3 +74,11 @@
         }
     }
 }
+
+impl Bounds {
+    /// Age up to which news from the store is passed on as fresh; what is left of the shorter
+    /// bound is for others to notice and to read themselves.
+    pub fn freshness(&self) -> Duration {
+        self.drain.min(self.release) / 2
+    }
+}
--- a/forwarding/tests/readers.rs
+++ b/forwarding/tests/readers.rs
@@ -2,9 +2,23 @@
 
 mod support;
 
-use forwarding::readers::Reading;
+use forwarding::peers::Peers;
+use forwarding::readers::{Reading, StoreAnswers};
+use rhubarbrock_schema::gossip;
 use support::ms;
 
+/// Takes a report of a gateway that follows the store, `store_age_ms` after it was answered.
+fn hear(peers: &mut Peers, now_ms: u64, name: &str, sequence: u64, store_age_ms: u32) {
+    let report = gossip::Report {
+        name: name.to_owned(),
+        sequence,
+        reads_entries: true,
+        store_age_ms,
+        ..gossip::Report::default()
+    };
+    peers.on_report(ms(now_ms), ms(now_ms), "127.0.0.1:7".parse().unwrap(), report);
+}
+
 #[test]
 fn the_first_gateways_read_and_the_others_listen() {
     let reading = Reading::default();
@@ -33,3 +47,26 @@
     reading = reading.next(ms(2_500), 7, 3, true);
     assert!(!reading.must_list(ms(9_000)));
 }
+
+#[test]
+fn readers_that_the_store_no_longer_answers_do_not_count() {
+    let mut peers = Peers::default();
+    hear(&mut peers, 0, "a", 1, 200);
+    hear(&mut peers, 0, "b", 1, 200);
+    assert_eq!(peers.readers(ms(700), ms(1_000)), 2);
+    assert_eq!(peers.reader_rank_of(ms(700), ms(1_000), "c"), 2);
+    hear(&mut peers, 700, "a", 2, 900);
+    assert_eq!(peers.readers(ms(900), ms(1_000)), 0);
+    assert_eq!(peers.reader_rank_of(ms(900), ms(1_000), "c"), 0);
+    hear(&mut peers, 900, "b", 2, u32::MAX);
+    assert_eq!(peers.readers(ms(900), ms(1_000)), 0);
+}
+
+#[test]
+fn the_age_of_news_is_that_of_the_older_topic() {
+    let mut answers = StoreAnswers::default();
+    answers.entries = Some(ms(900));
+    assert_eq!(answers.age(ms(1_000)), None);
+    answers.releases = Some(ms(300));
+    assert_eq!(answers.age(ms(1_000)), Some(ms(700)));
+}
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -183,6 +183,7 @@
     let departures = dispatcher.endpoints.recent_departures(now, DEPARTURES_TOLD);
     let suspects = dispatcher.suspects.told();
     let is_reader = dispatcher.reading.is_reader();
+    let store_age = dispatcher.store_answers.age(now);
     gossip::Report {
         name: dispatcher.settings.name.clone(),
         incarnation: context.incarnation,
@@ -201,6 +202,7 @@
         reads_entries: is_reader,
         joined: if is_reader { joined(&dispatcher, now, sequence) } else { Vec::new() },
         endpoints_hash: dispatcher.endpoints.hash(),
+        store_age_ms: store_age.map_or(u32::MAX, |age| age.as_millis() as u32),
         suspects: suspects
             .map(|(fingerprint, breaks)| gossip::Suspect { fingerprint, breaks })
             .collect(),
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -1,5 +1,6 @@
 //! Follows the release and the endpoints' entries in the platform's store.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use forwarding::endpoints::{Change, Entry};
@@ -20,13 +21,9 @@
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 
-/// Time for which a read of releases waits. It bounds how long a connection that went silent
-/// is not noticed; until then, the other gateways' reports tell of newer releases.
-const RELEASE_WAIT: Duration = Duration::from_millis(2_200);
-
-/// Part of the drain bound between two reads of endpoints' entries; the rest is for a read that
-/// fails, and for the reports that tell the other gateways.
-const ENTRIES_PAUSE_DIVISOR: u32 = 4;
+/// Part of the freshness that others expect from one read to the next, so that a reader with a
+/// working store is always fresh, and one without it is noticed in time.
+const READ_INTERVAL_DIVISOR: u32 = 2;
 
 /// Interval at which the other gateways' releases are looked at; a release comes to all within
 /// some milliseconds where nothing is wrong.
@@ -59,11 +56,17 @@
     }
 }
 
+/// The store's address, and the interval between two reads of one topic.
+fn address_and_interval(context: &Context) -> (SocketAddr, Duration) {
+    let settings = &context.dispatcher().settings;
+    (settings.store_address, settings.bounds.freshness() / READ_INTERVAL_DIVISOR)
+}
+
 /// Follows the operator's topic.
 pub(crate) async fn follow_release(context: Context) {
-    let address = context.dispatcher().settings.store_address;
+    let (address, wait) = address_and_interval(&context);
     let mut store = Store::new(address);
-    let mut health = StoreHealth::new("release", &context);
+    let mut health = StoreHealth::new(Topic::Releases, &context);
     loop {
         let listing = list(&context, &mut store, store::OPERATOR_TOPIC, &mut health).await;
         apply_release(&context, &listing.records);
@@ -76,7 +79,7 @@
                     () = reader_again(&context) => {}
                 }
             }
-            let read = store.read(store::OPERATOR_TOPIC, next, RELEASE_WAIT, CALL_TIMEOUT);
+            let read = store.read(store::OPERATOR_TOPIC, next, wait, CALL_TIMEOUT);
             let read = tokio::select! {
                 read = read => read,
                 () = newer_elsewhere(&context) => {
@@ -140,12 +143,9 @@
 
 /// Follows the topic of endpoints' entries.
 pub(crate) async fn follow_endpoints(context: Context) {
-    let (address, pause) = {
-        let settings = &context.dispatcher().settings;
-        (settings.store_address, settings.bounds.drain / ENTRIES_PAUSE_DIVISOR)
-    };
+    let (address, pause) = address_and_interval(&context);
     let mut store = Store::new(address);
-    let mut health = StoreHealth::new("endpoints", &context);
+    let mut health = StoreHealth::new(Topic::Entries, &context);
     loop {
         let listing = list(&context, &mut store, store::REPLICAS_TOPIC, &mut health).await;
         apply_listing(&context, &listing);
@@ -153,10 +153,10 @@
         loop {
             if !update_reading(&context).is_reader() {
                 wait_until_reader(&context).await;
-                health = StoreHealth::new("endpoints", &context);
+                health = StoreHealth::new(Topic::Entries, &context);
                 break;
             }
-            match store.read(store::REPLICAS_TOPIC, next, pause, CALL_TIMEOUT).await {
+            match store.read(store::REPLICAS_TOPIC, next, Duration::ZERO, CALL_TIMEOUT).await {
                 Ok(Read::Records { records, next: after }) => {
                     health.on_answer(&context);
                     apply_entries(&context, &records);
@@ -178,11 +178,12 @@
     let mut dispatcher = context.dispatcher();
     let was_reader = dispatcher.reading.is_reader();
     let reading = dispatcher.update_reading(now);
-    let readers = dispatcher.peers.entry_readers(now);
+    let freshness = dispatcher.settings.bounds.freshness();
+    let readers = dispatcher.peers.readers(now, freshness);
     drop(dispatcher);
     if reading.is_reader() != was_reader {
-        info!(context.logger, "reading of endpoints' entries changes";
-            "is_reader" => reading.is_reader(), "other_readers" => readers);
+        info!(context.logger, "reading of the store changes";
+            "is_reader" => reading.is_reader(), "other_fresh_readers" => readers);
     }
     reading
 }
@@ -255,22 +256,36 @@
         "entry" => described);
 }
 
+/// What a follower follows.
+#[derive(Debug, Clone, Copy)]
+enum Topic {
+    Releases,
+    Entries,
+}
+
 /// Whether the store answers, as one follower sees it.
 struct StoreHealth {
-    topic: &'static str,
+    topic: Topic,
     lost_since: Option<Duration>,
     lapse_after: Duration,
 }
 
 impl StoreHealth {
-    fn new(topic: &'static str, context: &Context) -> StoreHealth {
+    fn new(topic: Topic, context: &Context) -> StoreHealth {
         let lapse_after = context.dispatcher().settings.heartbeat * LAPSE_HEARTBEATS;
         StoreHealth { topic, lost_since: None, lapse_after }
     }
 
     fn on_answer(&mut self, context: &Context) {
-        let Some(lost_since) = self.lost_since.take() else { return };
         let now = context.now();
+        {
+            let answers = &mut context.dispatcher().store_answers;
+            match self.topic {
+                Topic::Releases => answers.releases = Some(now),
+                Topic::Entries => answers.entries = Some(now),
+            }
+        }
+        let Some(lost_since) = self.lost_since.take() else { return };
         let lost = now.saturating_sub(lost_since);
         let may_have_lapsed = lost > self.lapse_after;
         if may_have_lapsed {
@@ -278,14 +293,14 @@
             endpoints.on_store_lost();
             endpoints.on_store_back(now);
         }
-        info!(context.logger, "store answers again"; "topic" => self.topic,
+        info!(context.logger, "store answers again"; "topic" => ?self.topic,
             "lost_ms" => lost.as_millis() as u64, "entries_may_have_lapsed" => may_have_lapsed);
     }
 
     fn on_error(&mut self, context: &Context, error: &StoreError) {
         metrics::counter!("gateway_store_failures_total").increment(1);
         if self.lost_since.is_none() {
-            warn!(context.logger, "store lost"; "topic" => self.topic, "error" => %error);
+            warn!(context.logger, "store lost"; "topic" => ?self.topic, "error" => %error);
             self.lost_since = Some(context.now());
         }
     }
