Hand release and endpoints to gateways that cannot reach the store

A gateway that is cut off from the store alone kept an old release too, and served revoked keys.

Ruled out: starting slowly (the process listens within 20 ms) and finding the others (their reports arrive at the known address within 150 ms).

Change: each gateway serves its release, as it stands in the store, and its endpoints at its peer port. One whose listing of the store fails, and that has no release, no endpoint, or hears of a newer release, asks up to three others.

--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -1,5 +1,6 @@
 //! Other gateways as their reports describe them.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -117,6 +118,14 @@
         self.live(now).count() as u32 + 1
     }
 
+    /// Addresses of gateways with a release that reported lately, the newest release first.
+    pub fn by_release(&self, now: Duration) -> Vec<SocketAddr> {
+        let mut able: Vec<&Peer> =
+            self.live(now).filter(|peer| peer.report.release_version > 0).collect();
+        able.sort_by_key(|peer| Reverse(peer.report.release_version));
+        able.into_iter().map(|peer| peer.address).collect()
+    }
+
     /// Highest release version that a gateway reports.
     pub fn release_version(&self) -> u64 {
         self.peers.values().map(|peer| peer.report.release_version).max().unwrap_or_default()
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use forwarding::dispatcher::Dispatcher;
 use gotham::state::StateData;
 use rhubarbrock::clock::Clock;
@@ -32,6 +33,8 @@
     pub(crate) body_bytes: AtomicUsize,
     /// How far the shutdown is.
     pub(crate) phase: watch::Receiver<Phase>,
+    /// Release in force, as it stands in the store.
+    release_record: Mutex<Bytes>,
 }
 
 /// Shared state and clock; cheap to clone.
@@ -68,6 +71,7 @@
             open_requests: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
             phase,
+            release_record: Mutex::new(Bytes::new()),
         };
         Context { shared: Arc::new(shared), clock }
     }
@@ -92,6 +96,16 @@
         self.dispatcher.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The release in force, as it stands in the store; empty if there is none.
+    pub(crate) fn release_record(&self) -> Bytes {
+        self.release_record.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Keeps the record of the release in force.
+    pub(crate) fn set_release_record(&self, record: Bytes) {
+        *self.release_record.lock().unwrap_or_else(PoisonError::into_inner) = record;
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub(crate) fn open_request(&self, body_bytes: usize) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use forwarding::dispatcher::Dispatcher;
-use forwarding::endpoints::{Change, Entry};
+use forwarding::endpoints::{Change, Endpoint, Entry};
 use platform::store::{self, Store};
 use prost::Message;
 use rhubarbrock_schema::gossip;
@@ -121,19 +121,11 @@
             departed.push(departure.endpoint.clone());
         }
     }
-    let mut joined = Vec::new();
-    for row in &report.joined {
-        let Some(entry) = entry(row) else { continue };
-        if dispatcher.endpoints.on_entry(now, entry) == Change::Joined {
-            joined.push(row.endpoint.clone());
-        }
-    }
-    let name = report.name.clone();
+    let (name, joined) = (report.name.clone(), report.joined.clone());
     dispatcher.peers.on_report(now, wall, from, report);
     drop(dispatcher);
-    for id in joined {
-        info!(context.logger, "endpoint joined, another gateway says";
-            "endpoint" => id, "source" => &name);
+    for row in &joined {
+        apply_joined(context, row, &name);
     }
     for id in departed {
         info!(context.logger, "endpoint leaves, another gateway says";
@@ -141,6 +133,19 @@
     }
 }
 
+/// Takes another gateway's word that an endpoint is there.
+pub(crate) fn apply_joined(context: &Context, row: &gossip::Joined, source: &str) {
+    let Some(entry) = entry(row) else {
+        warn!(context.logger, "endpoint unreadable"; "endpoint" => &row.endpoint,
+            "source" => source, "address" => &row.address);
+        return;
+    };
+    if context.dispatcher().endpoints.on_entry(context.now(), entry) == Change::Joined {
+        info!(context.logger, "endpoint joined, another gateway says";
+            "endpoint" => &row.endpoint, "source" => source);
+    }
+}
+
 async fn send(context: &Context, socket: &UdpSocket, sequence: u64) -> u32 {
     let report = report(context, sequence);
     let (with_usage, addresses, duty_addresses) = {
@@ -244,21 +249,23 @@
 fn joined(dispatcher: &Dispatcher, now: Duration, sequence: u64) -> Vec<gossip::Joined> {
     let endpoints = dispatcher.endpoints.recently_joined(now, JOINED_TOLD);
     let rows = by_turns(endpoints, MAX_JOINED, sequence).into_iter();
-    let rows = rows.map(|endpoint| {
-        let entry = &endpoint.entry;
-        gossip::Joined {
-            endpoint: entry.id.clone(),
-            service: entry.service.clone(),
-            address: entry.address.to_string(),
-            data_centre: entry.data_centre.clone(),
-            capacity: entry.capacity,
-            is_reclaimable: entry.is_reclaimable,
-            warm_up_ms: entry.warm_up.as_millis() as u64,
-            born_ms: entry.born_ms,
-            sequence: entry.sequence,
-        }
-    });
-    rows.collect()
+    rows.map(joined_row).collect()
+}
+
+/// An endpoint as other gateways are told of it.
+pub(crate) fn joined_row(endpoint: &Endpoint) -> gossip::Joined {
+    let entry = &endpoint.entry;
+    gossip::Joined {
+        endpoint: entry.id.clone(),
+        service: entry.service.clone(),
+        address: entry.address.to_string(),
+        data_centre: entry.data_centre.clone(),
+        capacity: entry.capacity,
+        is_reclaimable: entry.is_reclaimable,
+        warm_up_ms: entry.warm_up.as_millis() as u64,
+        born_ms: entry.born_ms,
+        sequence: entry.sequence,
+    }
 }
 
 fn entry(row: &gossip::Joined) -> Option<Entry> {
--- /dev/null
+++ b/gateway/src/handover.rs
@@ -0,0 +1,123 @@
+//! Release and endpoints from another gateway, while the store does not answer.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use platform::channel::Channel;
+use prost::Message;
+use rhubarbrock_schema::gossip;
+use slog::{info, warn};
+use tokio::net::TcpListener;
+use tokio::time;
+
+use crate::context::Context;
+use crate::gossip as reports;
+use crate::store_watch;
+
+/// Path that the handover is asked at.
+const PATH: &str = "/handover";
+
+/// Time limit of a call; a release with a thousand routes takes 0.2 s on a 10 Mbit/s link.
+const CALL_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Gateways asked at one try; one may be cut off, and one as new as this one.
+const MAX_ASKED: usize = 3;
+
+/// Time for which a connection may be idle; each is used once.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Hands release and endpoints to other gateways.
+pub(crate) async fn serve(context: Context, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let context = context.clone();
+                tokio::spawn(async move {
+                    let service = hyper::service::service_fn(move |request| {
+                        let response = respond(&context, &request);
+                        std::future::ready(Ok::<_, Infallible>(response))
+                    });
+                    let connection = http1::Builder::new()
+                        .timer(TokioTimer::new())
+                        .header_read_timeout(IDLE_TIMEOUT)
+                        .serve_connection(TokioIo::new(stream), service);
+                    // Its error is the other side's leaving.
+                    let _ = connection.await;
+                });
+            }
+            Err(error) => {
+                warn!(context.logger, "cannot accept another gateway"; "error" => %error);
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn respond(context: &Context, request: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if request.uri().path() != PATH {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    let release = context.release_record();
+    let dispatcher = context.dispatcher();
+    let endpoints = dispatcher.endpoints.iter().map(reports::joined_row).collect();
+    let handover = gossip::Handover { release: release.to_vec(), endpoints };
+    Response::new(Full::new(handover.encode_to_vec().into()))
+}
+
+/// Asks other gateways for what this one lacks, if it lacks anything.
+pub(crate) async fn ask_if_needed(context: &Context) {
+    if !is_needed(context) {
+        return;
+    }
+    let addresses = context.dispatcher().peers.by_release(context.now());
+    for address in addresses.into_iter().take(MAX_ASKED) {
+        match ask(address).await {
+            Ok(handover) => {
+                apply(context, address, &handover);
+                if !is_needed(context) {
+                    return;
+                }
+            }
+            Err(error) => {
+                info!(context.logger, "no handover"; "source" => %address, "error" => %error);
+            }
+        }
+    }
+}
+
+/// Whether there is no release, no endpoint, or a newer release elsewhere.
+fn is_needed(context: &Context) -> bool {
+    let dispatcher = context.dispatcher();
+    let own = dispatcher.release().map_or(0, |release| release.version);
+    !dispatcher.is_ready() || dispatcher.peers.release_version() > own
+}
+
+async fn ask(address: SocketAddr) -> anyhow::Result<gossip::Handover> {
+    let mut channel = Channel::new(address);
+    let answer = channel.call(Method::GET, PATH, &[], Bytes::new(), CALL_TIMEOUT).await?;
+    anyhow::ensure!(answer.status == StatusCode::OK, "status {}", answer.status);
+    Ok(gossip::Handover::decode(answer.body)?)
+}
+
+fn apply(context: &Context, source: SocketAddr, handover: &gossip::Handover) {
+    info!(context.logger, "handover"; "source" => %source,
+        "release_bytes" => handover.release.len(), "endpoints" => handover.endpoints.len());
+    if !handover.release.is_empty() {
+        store_watch::apply_release_record(context, &handover.release);
+    }
+    for row in &handover.endpoints {
+        reports::apply_joined(context, row, &source.to_string());
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod exchange;
 mod front;
 mod gossip;
+mod handover;
 mod logger;
 mod observation;
 mod pool;
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -15,7 +15,7 @@
 
 use crate::context::Context;
 use crate::shutdown::{self, Phase};
-use crate::{duties, front, gossip, logger, observation, store_watch};
+use crate::{duties, front, gossip, handover, logger, observation, store_watch};
 
 /// Upper bounds of latency histograms, in seconds, around the usual latency targets.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.12, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0];
@@ -46,6 +46,7 @@
     let socket = UdpSocket::bind(peer_address)
         .await
         .with_context(|| format!("cannot listen for gateways on {peer_address}"))?;
+    let handovers = bind(peer_address).await?;
     info!(logger, "started"; "data_centre" => &settings.data_centre,
         "callers" => %settings.caller_address, "store" => %settings.store_address);
     let (phase_sender, phase) = watch::channel(Phase::Serving);
@@ -56,6 +57,7 @@
     tasks.spawn(observation::serve(context.clone(), readiness, None));
     tasks.spawn(observation::serve(context.clone(), observers, Some(metrics)));
     tasks.spawn(gossip::join(context.clone(), peer_address));
+    tasks.spawn(handover::serve(context.clone(), handovers));
     tasks.spawn(gossip::exchange(context.clone(), socket));
     tasks.spawn(duties::run(context.clone()));
     tasks.spawn(front::serve(context.clone(), callers));
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bytes::Bytes;
 use forwarding::endpoints::{Change, Entry};
 use forwarding::readers::Reading;
 use platform::store::{self, Listing, Read, Record, Store, StoreError};
@@ -11,6 +12,7 @@
 use tokio::time;
 
 use crate::context::Context;
+use crate::handover;
 
 /// Time limit of one call; the store answers in a few milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(450);
@@ -50,6 +52,7 @@
             }
             Err(error) => {
                 health.on_error(context, &error);
+                handover::ask_if_needed(context).await;
                 time::sleep(FAILURE_PAUSE).await;
             }
         }
@@ -124,20 +127,25 @@
 }
 
 fn apply_release(context: &Context, records: &[Record]) {
-    for record in records.iter().filter(|record| record.key == config::KEY) {
-        let Some(value) = &record.value else { continue };
-        let release = match config::decode(value) {
-            Ok(release) => release,
-            Err(error) => {
-                warn!(context.logger, "release unreadable"; "error" => %error);
-                continue;
-            }
-        };
-        let version = release.version;
-        let routes = release.routes.len();
-        if context.dispatcher().on_release(release) {
-            info!(context.logger, "release in force"; "version" => version, "routes" => routes);
+    let values = records.iter().filter(|record| record.key == config::KEY);
+    for value in values.filter_map(|record| record.value.as_ref()) {
+        apply_release_record(context, value);
+    }
+}
+
+/// Takes a release as it stands in the store.
+pub(crate) fn apply_release_record(context: &Context, record: &[u8]) {
+    let release = match config::decode(record) {
+        Ok(release) => release,
+        Err(error) => {
+            warn!(context.logger, "release unreadable"; "error" => %error);
+            return;
         }
+    };
+    let (version, routes) = (release.version, release.routes.len());
+    if context.dispatcher().on_release(release) {
+        context.set_release_record(Bytes::copy_from_slice(record));
+        info!(context.logger, "release in force"; "version" => version, "routes" => routes);
     }
 }
 
