Suspect requests by the endpoints they broke, and clear those that end

Each break of a connection counted for the request's fingerprint, all breaks of one endpoint as well, and for 60 s, added over all gateways. A request that callers send alike, such as a lookup of one thing, was refused as one that crashes endpoints: 75 refusals, beside nine sound runs of the same request a second. A whole answer cleared only what the same gateway had seen, so a refusal everywhere could not end before the minute was over.

Ruled out: poison (the stand-in has none), and stale connections alone (the breaks were within requests).

Change: what counts are endpoints (id and start) that broke during the request, three of them; each break has its age; a whole answer at any gateway clears all breaks before it, and gateways tell each other so where there is a suspicion.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -362,9 +362,9 @@
     }
 
     /// An attempt ended with a whole answer; returns whether that ended an ejection.
-    pub fn on_answered(&mut self, ticket: &Ticket, target: &Target) -> bool {
+    pub fn on_answered(&mut self, now: Duration, ticket: &Ticket, target: &Target) -> bool {
         self.endpoints.on_ended(&target.id);
-        self.suspects.on_finished(ticket.fingerprint);
+        self.suspects.on_finished(now, ticket.fingerprint);
         self.endpoints.on_success(&target.id)
     }
 
@@ -390,7 +390,8 @@
                 false
             }
             Outcome::Broken => {
-                self.suspects.on_break(now, ticket.fingerprint);
+                let endpoint = suspects::endpoint_hash(&target.id, target.born_ms);
+                self.suspects.on_break(now, ticket.fingerprint, endpoint);
                 self.endpoints.on_failure(now, &target.id)
             }
             Outcome::Failed => {
--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use rhubarbrock::health::{self, Health, Standing};
-use xxhash_rust::xxh3;
 
 use crate::release::ServiceName;
+use crate::suspects;
 
 /// Id of one endpoint.
 pub type EndpointId = String;
@@ -289,7 +289,7 @@
     pub fn hash(&self) -> u64 {
         self.endpoints.values().fold(0, |hash, endpoint| {
             let entry = &endpoint.entry;
-            hash ^ xxh3::xxh3_64_with_seed(entry.id.as_bytes(), entry.born_ms)
+            hash ^ suspects::endpoint_hash(&entry.id, entry.born_ms)
         })
     }
 
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -10,7 +10,7 @@
 use crate::arrivals::Arrivals;
 use crate::endpoints::{EndpointId, Load};
 use crate::quota::PeerDemand;
-use crate::suspects::Fingerprint;
+use crate::suspects::{Fingerprint, Sightings};
 use crate::usage::Source;
 
 /// Silence after which a gateway's load no longer counts; several reports may be lost.
@@ -212,11 +212,19 @@
         reports.map(|report| (report.name.clone(), report.incarnation)).collect()
     }
 
-    /// Breaks of connections during requests, as other gateways saw them.
-    pub fn suspects(&self) -> HashMap<Fingerprint, u32> {
-        let mut suspects: HashMap<Fingerprint, u32> = HashMap::new();
-        for each in self.peers.values().flat_map(|peer| &peer.report.suspects) {
-            *suspects.entry(each.fingerprint).or_default() += each.breaks;
+    /// What other gateways saw of requests that may crash endpoints.
+    pub fn suspects(&self) -> HashMap<Fingerprint, Vec<Sightings>> {
+        let mut suspects: HashMap<Fingerprint, Vec<Sightings>> = HashMap::new();
+        for peer in self.peers.values() {
+            let at =
+                |age_ms: u32| peer.heard_at.saturating_sub(Duration::from_millis(age_ms.into()));
+            for each in &peer.report.suspects {
+                let breaks = each.breaks.iter().map(|each| (each.endpoint, at(each.age_ms)));
+                suspects.entry(each.fingerprint).or_default().push(Sightings {
+                    breaks: breaks.collect(),
+                    finished_at: each.finished_age_ms.map(at),
+                });
+            }
         }
         suspects
     }
--- a/forwarding/src/suspects.rs
+++ b/forwarding/src/suspects.rs
@@ -2,23 +2,27 @@
 //!
 //! A connection that breaks during a request may mean that the request crashed
 //! its endpoint. Callers send such a request again at any gateway, so gateways
-//! share what they saw. One break proves little, as batch mates of the cause
-//! break with it and endpoints also fail by themselves.
+//! share what they saw. One endpoint proves little, however often it breaks
+//! connections: it may fail by itself, and batch mates of the cause break with
+//! it. A request that ran to its end at any gateway is cleared of all before.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap};
 use std::hash::Hasher;
 use std::time::Duration;
 
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{self, Xxh3};
 
 /// Hash of what a repeated request has in common with itself.
 pub type Fingerprint = u64;
 
-/// Breaks after which a request is refused; the third crash is the last that the deployment
-/// allows without penalty.
-const REFUSED_BREAKS: u32 = 3;
+/// Hash of an endpoint's id and start.
+pub type EndpointHash = u64;
 
-/// Time for which a break counts.
+/// Endpoints that broke during a request after which it is refused; the third crash is the last
+/// that the deployment allows without penalty.
+const REFUSED_ENDPOINTS: usize = 3;
+
+/// Time for which a break or an end counts.
 const MEMORY: Duration = Duration::from_secs(60);
 
 /// Most requests remembered.
@@ -37,60 +41,85 @@
     hasher.finish()
 }
 
-/// Breaks seen by this gateway and the others.
+/// Hash of one start of an endpoint.
+pub fn endpoint_hash(id: &str, born_ms: u64) -> EndpointHash {
+    xxh3::xxh3_64_with_seed(id.as_bytes(), born_ms)
+}
+
+/// What one gateway saw of a request.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Sightings {
+    /// Endpoints whose connections broke during it, each with the last time.
+    pub breaks: Vec<(EndpointHash, Duration)>,
+    /// When it last ran to its end.
+    pub finished_at: Option<Duration>,
+}
+
+impl Sightings {
+    fn last(&self) -> Duration {
+        let breaks = self.breaks.iter().map(|&(_, at)| at);
+        breaks.chain(self.finished_at).max().unwrap_or_default()
+    }
+}
+
+/// What this gateway and the others saw.
 #[derive(Debug, Default)]
 pub struct Suspects {
-    own: HashMap<Fingerprint, u32>,
-    order: VecDeque<(Duration, Fingerprint)>,
-    peers: HashMap<Fingerprint, u32>,
+    own: HashMap<Fingerprint, Sightings>,
+    peers: HashMap<Fingerprint, Vec<Sightings>>,
 }
 
 impl Suspects {
-    /// A connection broke during a request.
-    pub fn on_break(&mut self, now: Duration, fingerprint: Fingerprint) {
-        self.forget(now);
-        *self.own.entry(fingerprint).or_default() += 1;
-        self.order.push_back((now, fingerprint));
+    /// A connection to an endpoint broke during a request.
+    pub fn on_break(&mut self, now: Duration, fingerprint: Fingerprint, endpoint: EndpointHash) {
+        let seen = self.own.entry(fingerprint).or_default();
+        seen.breaks.retain(|&(known, _)| known != endpoint);
+        seen.breaks.push((endpoint, now));
+        self.bound();
     }
 
     /// A request ran to its end, so it crashes nothing.
-    pub fn on_finished(&mut self, fingerprint: Fingerprint) {
-        if self.own.remove(&fingerprint).is_some() {
-            self.order.retain(|&(_, each)| each != fingerprint);
+    pub fn on_finished(&mut self, now: Duration, fingerprint: Fingerprint) {
+        let is_told = self.peers.contains_key(&fingerprint);
+        if is_told || self.own.contains_key(&fingerprint) {
+            let finished_at = Some(now);
+            self.own.insert(fingerprint, Sightings { breaks: Vec::new(), finished_at });
         }
     }
 
     /// Sets what the other gateways saw.
-    pub fn set_peers(&mut self, peers: HashMap<Fingerprint, u32>) {
+    pub fn set_peers(&mut self, peers: HashMap<Fingerprint, Vec<Sightings>>) {
         self.peers = peers;
     }
 
     /// Whether a request has to be refused.
     pub fn is_refused(&mut self, now: Duration, fingerprint: Fingerprint) -> bool {
-        self.forget(now);
-        let own = self.own.get(&fingerprint).copied().unwrap_or_default();
-        let peers = self.peers.get(&fingerprint).copied().unwrap_or_default();
-        own + peers >= REFUSED_BREAKS
+        self.own.retain(|_, seen| now < seen.last() + MEMORY);
+        let peers = self.peers.get(&fingerprint).into_iter().flatten();
+        let all: Vec<&Sightings> = peers.chain(self.own.get(&fingerprint)).collect();
+        let finished_at = all.iter().filter_map(|seen| seen.finished_at).max();
+        let breaks = all.iter().flat_map(|seen| &seen.breaks);
+        let counted = breaks.filter(|&&(_, at)| {
+            now < at + MEMORY && finished_at.is_none_or(|finished_at| at > finished_at)
+        });
+        let endpoints: BTreeSet<EndpointHash> = counted.map(|&(endpoint, _)| endpoint).collect();
+        endpoints.len() >= REFUSED_ENDPOINTS
     }
 
-    /// Own suspects, the latest first, for the other gateways.
-    pub fn told(&self) -> impl Iterator<Item = (Fingerprint, u32)> {
-        self.order.iter().rev().take(MAX_TOLD).filter_map(|(_, fingerprint)| {
-            self.own.get(fingerprint).map(|&breaks| (*fingerprint, breaks))
-        })
+    /// What this gateway saw, the latest first, for the other gateways.
+    pub fn told(&self) -> Vec<(Fingerprint, &Sightings)> {
+        let mut rows: Vec<(Fingerprint, &Sightings)> =
+            self.own.iter().map(|(&fingerprint, seen)| (fingerprint, seen)).collect();
+        rows.sort_by_key(|&(fingerprint, seen)| (std::cmp::Reverse(seen.last()), fingerprint));
+        rows.truncate(MAX_TOLD);
+        rows
     }
 
-    fn forget(&mut self, now: Duration) {
-        while let Some(&(at, fingerprint)) = self.order.front() {
-            if now < at + MEMORY && self.order.len() <= MAX_SUSPECTS {
-                return;
-            }
-            self.order.pop_front();
-            if let Some(breaks) = self.own.get_mut(&fingerprint) {
-                *breaks -= 1;
-                if *breaks == 0 {
-                    self.own.remove(&fingerprint);
-                }
+    fn bound(&mut self) {
+        if self.own.len() > MAX_SUSPECTS {
+            let oldest = self.own.iter().min_by_key(|(print, seen)| (seen.last(), **print));
+            if let Some(oldest) = oldest.map(|(&fingerprint, _)| fingerprint) {
+                self.own.remove(&oldest);
             }
         }
     }
--- a/forwarding/tests/dispatcher.rs
+++ b/forwarding/tests/dispatcher.rs
@@ -115,7 +115,7 @@
 }
 
 #[test]
-fn a_request_that_broke_three_connections_is_refused() {
+fn a_request_that_crashed_three_endpoints_is_refused() {
     let mut dispatcher = dispatcher();
     let mut breaks = 0;
     for attempt in 0..4 {
@@ -124,6 +124,9 @@
         let target = dispatcher.next_target(ms(20), &mut ticket).unwrap();
         dispatcher.on_failed(ms(30), &mut ticket, &target, Outcome::Broken, false);
         breaks += 1;
+        // The endpoint crashed, and starts again.
+        let again = entry(&target.id, support::DESK, target.born_ms + 1, 1);
+        dispatcher.endpoints.on_entry(ms(35), again);
     }
     assert_eq!(breaks, 3);
     assert!(dispatcher.admit(ms(40), &request("b", "/order/1"), b"other").is_ok());
--- a/forwarding/tests/readers.rs
+++ b/forwarding/tests/readers.rs
@@ -64,8 +64,7 @@
 
 #[test]
 fn the_age_of_news_is_that_of_the_older_topic() {
-    let mut answers = StoreAnswers::default();
-    answers.entries = Some(ms(900));
+    let mut answers = StoreAnswers { releases: None, entries: Some(ms(900)) };
     assert_eq!(answers.age(ms(1_000)), None);
     answers.releases = Some(ms(300));
     assert_eq!(answers.age(ms(1_000)), Some(ms(700)));
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -139,7 +139,7 @@
         let Some(current) = self.current.take() else { return };
         let now = self.context.now();
         let latency = current.first_event_at.unwrap_or(now).saturating_sub(current.sent_at);
-        let was_ejected = self.context.dispatcher().on_answered(&self.ticket, &current.target);
+        let was_ejected = self.context.dispatcher().on_answered(now, &self.ticket, &current.target);
         let whole = now.saturating_sub(self.ticket.arrived_at);
         metrics::histogram!("gateway_first_byte_seconds").record(latency.as_secs_f64());
         metrics::histogram!("gateway_answer_seconds").record(whole.as_secs_f64());
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -186,7 +186,14 @@
             spent_units: spent as u64,
         });
     let departures = dispatcher.endpoints.recent_departures(now, DEPARTURES_TOLD);
-    let suspects = dispatcher.suspects.told();
+    let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u32;
+    let suspects = dispatcher.suspects.told().into_iter().map(|(fingerprint, seen)| {
+        let breaks = seen.breaks.iter();
+        let breaks = breaks.map(|&(endpoint, at)| gossip::Break { endpoint, age_ms: age_ms(at) });
+        let finished_age_ms = seen.finished_at.map(age_ms);
+        gossip::Suspect { fingerprint, breaks: breaks.collect(), finished_age_ms }
+    });
+    let suspects = suspects.collect();
     let is_reader = dispatcher.reading.is_reader();
     let store_age = dispatcher.store_answers.age(now);
     gossip::Report {
@@ -208,9 +215,7 @@
         joined: if is_reader { joined(&dispatcher, now, sequence) } else { Vec::new() },
         endpoints_hash: dispatcher.endpoints.hash(),
         store_age_ms: store_age.map_or(u32::MAX, |age| age.as_millis() as u32),
-        suspects: suspects
-            .map(|(fingerprint, breaks)| gossip::Suspect { fingerprint, breaks })
-            .collect(),
+        suspects,
     }
 }
 
