Keep one unspent request of a quota's share instead of always allowing one

Cause: between two reports a gateway could always send one request of an organisation, however small its share of the quota was. With 74 gateways and reports each 0.6 s that is 74 requests at once: in the test, 666,000 units where 250,000 are allowed in a window. The same gateways refused 635 of 1,704 requests of a demand at nine tenths of the quota, as a share is about one request, what was left of it was dropped with each report, and requests come unevenly.

Ruled out: late reports (the balance was right), and the cut alone (gateways in touch refused as often).

Change: a gateway spends its share; what is left is kept up to one request of the largest size seen. Part of the overshoot that the deployment allows, now read from its settings with the window, is shared among the gateways as well. Accounts begin when others report, not with the first request here, so that a gateway does not start with a full balance of its own.

Tests: two with 74 gateways; before, 635 refused and 666,000 of 250,200 units, now 301 refused and within what is allowed.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -203,11 +203,12 @@
 impl Dispatcher {
     /// A gateway that knows nothing yet.
     pub fn new(settings: Settings) -> Dispatcher {
+        let accounts = Accounts::new(settings.bounds.quota);
         Dispatcher {
             settings,
             endpoints: Table::default(),
             peers: Peers::default(),
-            accounts: Accounts::default(),
+            accounts,
             usage: Usage::default(),
             suspects: Suspects::default(),
             reading: Reading::default(),
@@ -271,12 +272,9 @@
         let quota = organisation.and_then(|organisation| organisation.quota);
         let quota_units = quota.map_or(0.0, |quota| quota::units(&quota, request.prompt.as_ref()));
         if let Some(organisation) = organisation {
-            let group = quota::Group {
-                gateways: self.peers.gateways(now),
-                slack_units: self.settings.bounds.quota_slack_units,
-            };
+            let gateways = self.peers.gateways(now);
             let cost = quota::Cost { units: quota_units, is_plain: request.prompt.is_none() };
-            self.accounts.spend(now, organisation, &group, &cost).map_err(Refusal::OverQuota)?;
+            self.accounts.spend(now, organisation, gateways, &cost).map_err(Refusal::OverQuota)?;
         }
         self.budget.on_request(now, &self.settings.bounds, service);
         if let Some(prompt) = &request.prompt {
@@ -435,8 +433,12 @@
         self.peers.tick(now);
         let loads = self.peers.loads(now);
         self.endpoints.set_peer_loads(&loads);
-        for (organisation, demand) in self.peers.demands(now) {
-            self.accounts.on_reports(now, &organisation, &demand);
+        let demands = self.peers.demands(now);
+        let release = self.release.clone();
+        for organisation in release.iter().flat_map(|release| &release.organisations) {
+            if let Some(demand) = demands.get(&organisation.name) {
+                self.accounts.on_reports(now, organisation, demand);
+            }
         }
         self.suspects.set_peers(self.peers.suspects());
     }
--- a/forwarding/src/quota.rs
+++ b/forwarding/src/quota.rs
@@ -3,8 +3,10 @@
 //! Every gateway keeps the balance of all of them: it refills at the quota's
 //! rate, falls by what the gateway spends itself, and by what the others report
 //! to have spent. Between two reports the gateways don't see each other spend,
-//! so each keeps to its share of the balance, or to one request if that is
-//! more; what is overspent so is made up for before the next request. While
+//! so each keeps to its share of the balance and of what the deployment lets a
+//! quota be exceeded by; what is overspent so is made up for before the next
+//! request. With many gateways a share is less than one request, so what is left
+//! of it is kept for the next time, up to one request. While
 //! gateways are silent, the balance refills only at the rate of those that are
 //! heard, and up to their part of the burst, as the others may go on spending.
 
@@ -21,12 +23,15 @@
 /// first requests that reach it.
 const EVEN_SHARE: f64 = 0.3;
 
-/// Factor on quotas, within the tenth by which the deployment lets them be exceeded, so that
+/// Part of the overshoot that the deployment allows by which quotas are taken as larger, so that
 /// late reports don't refuse what is due.
-const TOLERANCE: f64 = 1.04;
+const TOLERATED_OVERSHOOT: f64 = 0.4;
 
-/// Part of the slack that gateways may spend beyond their shares between two reports; the rest
-/// covers their single large requests.
+/// Part of the overshoot, reckoned over the window, that all gateways together may spend beyond
+/// their shares between two reports; the rest covers reports that are lost.
+const UNSEEN_OVERSHOOT: f64 = 0.15;
+
+/// The same of the slack; the rest covers single large requests.
 const UNSEEN_SLACK_SHARE: f64 = 0.4;
 
 /// Part of the slack by which plain requests may overdraw the balance. They count little, and
@@ -65,9 +70,8 @@
 #[derive(Debug, Clone)]
 struct Account {
     quota: Quota,
+    bounds: QuotaBounds,
     balance_units: f64,
-    /// Balance when the others' spending was last taken in.
-    synced_units: f64,
     spent_since_sync_units: f64,
     /// Own part of the demand of all gateways.
     share: f64,
@@ -76,21 +80,41 @@
     demand_units_per_s: f64,
     spent_units: f64,
     peers_spent_units: f64,
+    /// What may be spent until the next reports, and what of it was kept from the time before.
+    allowance_units: f64,
+    /// Largest request so far.
+    largest_units: f64,
     refilled_at: Duration,
 }
 
+impl QuotaBounds {
+    /// Factor by which quotas are taken as larger.
+    fn tolerance(&self) -> f64 {
+        1.0 + TOLERATED_OVERSHOOT * self.overshoot
+    }
+
+    /// Units that all gateways may spend beyond their shares between two reports.
+    fn unseen_units(&self, quota: &Quota) -> f64 {
+        let window_units = quota.units_per_s * self.window.as_secs_f64() + quota.burst_units;
+        UNSEEN_SLACK_SHARE * self.slack_units + UNSEEN_OVERSHOOT * self.overshoot * window_units
+    }
+}
+
 /// Accounts of all organisations at this gateway.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Accounts {
     accounts: HashMap<String, Account>,
+    bounds: QuotaBounds,
 }
 
-/// The gateways that keep a quota together.
+/// By how much all gateways together may exceed a quota.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Group {
-    /// How many they are.
-    pub gateways: u32,
-    /// Units by which all of them may exceed a quota in its window.
+pub struct QuotaBounds {
+    /// Time over which what is spent is added up.
+    pub window: Duration,
+    /// Part of the quota, its rate over the window and its burst.
+    pub overshoot: f64,
+    /// Units beside that.
     pub slack_units: f64,
 }
 
@@ -113,24 +137,25 @@
 }
 
 impl Accounts {
-    /// Spends a request's units, or says what is missing.
+    /// No accounts yet.
+    pub fn new(bounds: QuotaBounds) -> Accounts {
+        Accounts { accounts: HashMap::new(), bounds }
+    }
+
+    /// Spends a request's units, or says what is missing. `gateways` counts all, this one included.
     pub fn spend(
         &mut self,
         now: Duration,
         organisation: &Organisation,
-        group: &Group,
+        gateways: u32,
         cost: &Cost,
     ) -> Result<(), Shortage> {
-        let Some(quota) = organisation.quota else { return Ok(()) };
-        let account = self
-            .accounts
-            .entry(organisation.name.clone())
-            .or_insert_with(|| Account::new(now, quota, group.gateways));
-        account.set_quota(quota);
+        let Some(account) = self.account(now, organisation, gateways) else { return Ok(()) };
         account.refill(now);
         let units = cost.units;
         account.demand_units_per_s += units / DEMAND_WINDOW.as_secs_f64();
-        if !account.may_spend(group, cost) {
+        account.on_size(units);
+        if !account.may_spend(cost) {
             return Err(account.shortage(units));
         }
         account.balance_units -= units;
@@ -139,6 +164,22 @@
         Ok(())
     }
 
+    /// The account of an organisation with a quota.
+    fn account(
+        &mut self,
+        now: Duration,
+        organisation: &Organisation,
+        gateways: u32,
+    ) -> Option<&mut Account> {
+        let quota = organisation.quota?;
+        let account = self
+            .accounts
+            .entry(organisation.name.clone())
+            .or_insert_with(|| Account::new(now, quota, self.bounds, gateways));
+        account.set_quota(quota);
+        Some(account)
+    }
+
     /// Gives back what a request that did not run had spent.
     pub fn refund(&mut self, organisation: &str, units: f64) {
         if let Some(account) = self.accounts.get_mut(organisation) {
@@ -148,9 +189,9 @@
         }
     }
 
-    /// Takes what the other gateways report.
-    pub fn on_reports(&mut self, now: Duration, organisation: &str, peers: &PeerDemand) {
-        let Some(account) = self.accounts.get_mut(organisation) else { return };
+    /// Takes what the other gateways report, also of an organisation that asked nothing here.
+    pub fn on_reports(&mut self, now: Duration, organisation: &Organisation, peers: &PeerDemand) {
+        let Some(account) = self.account(now, organisation, peers.gateways) else { return };
         account.refill(now);
         account.on_reports(peers);
     }
@@ -164,41 +205,51 @@
 }
 
 impl Account {
-    fn new(now: Duration, quota: Quota, gateways: u32) -> Account {
+    fn new(now: Duration, quota: Quota, bounds: QuotaBounds, gateways: u32) -> Account {
         let share = 1.0 / f64::from(gateways.max(1));
-        let burst_units = quota.burst_units * TOLERANCE;
+        let burst_units = quota.burst_units * bounds.tolerance();
         Account {
             quota,
+            bounds,
             balance_units: burst_units,
-            synced_units: burst_units,
             spent_since_sync_units: 0.0,
             share,
             live_share: 1.0,
             demand_units_per_s: 0.0,
             spent_units: 0.0,
             peers_spent_units: 0.0,
+            largest_units: 0.0,
+            allowance_units: share * burst_units + bounds.unseen_units(&quota) * share,
             refilled_at: now,
         }
     }
 
     fn burst_units(&self) -> f64 {
-        self.quota.burst_units * TOLERANCE
+        self.quota.burst_units * self.bounds.tolerance()
+    }
+
+    /// A gateway that has kept one request may send a larger one as well.
+    fn on_size(&mut self, units: f64) {
+        if units <= self.largest_units {
+            return;
+        }
+        let left_units = self.allowance_units - self.spent_since_sync_units;
+        if left_units >= self.largest_units && left_units < units {
+            self.allowance_units += units - left_units;
+        }
+        self.largest_units = units;
     }
 
-    fn may_spend(&self, group: &Group, cost: &Cost) -> bool {
+    fn may_spend(&self, cost: &Cost) -> bool {
         let units = cost.units;
         let most_units = self.burst_units() * self.live_share;
-        if cost.is_plain && self.balance_units > -PLAIN_OVERDRAFT_SHARE * group.slack_units {
+        if cost.is_plain && self.balance_units > -PLAIN_OVERDRAFT_SHARE * self.bounds.slack_units {
             return true;
         }
         if self.balance_units < units.min(most_units) {
             return false;
         }
-        let gateways = f64::from(group.gateways.max(1));
-        let unseen = UNSEEN_SLACK_SHARE * group.slack_units / gateways;
-        let is_first = self.spent_since_sync_units <= 0.0;
-        let limit = self.share * self.synced_units + unseen;
-        is_first || self.spent_since_sync_units + units <= limit
+        self.spent_since_sync_units + units <= self.allowance_units
     }
 
     fn set_quota(&mut self, quota: Quota) {
@@ -207,13 +258,13 @@
         }
         self.quota = quota;
         self.balance_units = self.balance_units.min(self.burst_units());
-        self.synced_units = self.synced_units.min(self.burst_units());
+        self.allowance_units = self.allowance_units.min(self.burst_units());
     }
 
     fn refill(&mut self, now: Duration) {
         let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
         self.refilled_at = now;
-        let refill = self.quota.units_per_s * TOLERANCE * elapsed * self.live_share;
+        let refill = self.quota.units_per_s * self.bounds.tolerance() * elapsed * self.live_share;
         let burst_units = self.burst_units() * self.live_share;
         self.balance_units = (self.balance_units + refill).min(burst_units);
         self.demand_units_per_s *= (-elapsed / DEMAND_WINDOW.as_secs_f64()).exp();
@@ -224,12 +275,15 @@
         let spent = (peers.spent_units - self.peers_spent_units).max(0.0);
         self.peers_spent_units = peers.spent_units;
         self.balance_units -= spent;
-        self.synced_units = self.balance_units.max(0.0);
+        let left_units = (self.allowance_units - self.spent_since_sync_units).max(0.0);
         self.spent_since_sync_units = 0.0;
         self.live_share = f64::from(peers.live_gateways) / gateways;
         let total = peers.units_per_s + self.demand_units_per_s;
         let by_demand = if total > 0.0 { self.demand_units_per_s / total } else { 1.0 / gateways };
         self.share = EVEN_SHARE / gateways + (1.0 - EVEN_SHARE) * by_demand;
+        let unseen_units = self.bounds.unseen_units(&self.quota) / gateways;
+        let share_units = self.share * self.balance_units.max(0.0) + unseen_units;
+        self.allowance_units = share_units + left_units.min(self.largest_units);
     }
 
     fn shortage(&self, units: f64) -> Shortage {
--- a/forwarding/src/settings.rs
+++ b/forwarding/src/settings.rs
@@ -3,6 +3,8 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use crate::quota::QuotaBounds;
+
 /// Settings of one gateway, from the deployment.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
@@ -51,8 +53,8 @@
     pub retry_window: Duration,
     /// Retries allowed in a window beyond the ratio.
     pub retry_slack: f64,
-    /// Units by which all gateways together may exceed a quota in its window.
-    pub quota_slack_units: f64,
+    /// By how much all gateways together may exceed a quota.
+    pub quota: QuotaBounds,
     /// Window in which two holders of a duty must not alternate.
     pub lease: Duration,
     /// Length of a window of usage.
@@ -68,7 +70,7 @@
             retry_ratio: 0.2,
             retry_window: Duration::from_secs(10),
             retry_slack: 10.0,
-            quota_slack_units: 0.0,
+            quota: QuotaBounds { window: Duration::from_secs(8), overshoot: 0.1, slack_units: 0.0 },
             lease: Duration::from_secs(3),
             usage_window: Duration::from_secs(5),
         }
--- a/forwarding/tests/quota.rs
+++ b/forwarding/tests/quota.rs
@@ -5,16 +5,21 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use forwarding::quota::{Accounts, Cost, Group, PeerDemand};
+use forwarding::quota::{Accounts, Cost, PeerDemand};
 use forwarding::release::Organisation;
-use support::{ms, organisation};
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use support::{QUOTA, ms, organisation};
 
 const GATEWAYS: usize = 8;
-const GROUP: Group = Group { gateways: GATEWAYS as u32, slack_units: 72_000.0 };
+const MANY_GATEWAYS: usize = 74;
 
 /// Interval of reports and their delay on the way.
 const REPORT_INTERVAL_MS: u64 = 150;
 
+/// The same between many gateways.
+const LONG_REPORT_INTERVAL_MS: u64 = 600;
+
 fn prompt_cost(units: f64) -> Cost {
     Cost { units, is_plain: false }
 }
@@ -26,25 +31,36 @@
     spent: Vec<f64>,
     /// Whether a gateway hears nobody and is heard by nobody.
     is_cut_off: Vec<bool>,
+    report_interval_ms: u64,
     runs: VecDeque<(Duration, f64)>,
     refused: u32,
 }
 
 impl Fleet {
     fn new(units_per_s: f64) -> Fleet {
+        Fleet::of(GATEWAYS, REPORT_INTERVAL_MS, units_per_s)
+    }
+
+    fn of(gateways: usize, report_interval_ms: u64, units_per_s: f64) -> Fleet {
         Fleet {
             organisation: organisation("acme", units_per_s),
-            accounts: (0..GATEWAYS).map(|_| Accounts::default()).collect(),
-            spent: vec![0.0; GATEWAYS],
-            is_cut_off: vec![false; GATEWAYS],
+            accounts: (0..gateways).map(|_| Accounts::new(QUOTA)).collect(),
+            spent: vec![0.0; gateways],
+            is_cut_off: vec![false; gateways],
+            report_interval_ms,
             runs: VecDeque::new(),
             refused: 0,
         }
     }
 
+    fn gateways(&self) -> u32 {
+        self.accounts.len() as u32
+    }
+
     fn ask(&mut self, now: Duration, gateway: usize, units: f64) {
         let cost = prompt_cost(units);
-        match self.accounts[gateway].spend(now, &self.organisation, &GROUP, &cost) {
+        let gateways = self.gateways();
+        match self.accounts[gateway].spend(now, &self.organisation, gateways, &cost) {
             Ok(()) => {
                 self.spent[gateway] += units;
                 self.runs.push_back((now, units));
@@ -59,18 +75,19 @@
             .iter()
             .map(|accounts| accounts.demands().map(|(_, demand, _)| demand).sum())
             .collect();
-        for gateway in 0..GATEWAYS {
-            let others = (0..GATEWAYS).filter(|&other| {
+        let gateways = self.accounts.len();
+        for gateway in 0..gateways {
+            let others = (0..gateways).filter(|&other| {
                 other != gateway && !self.is_cut_off[other] && !self.is_cut_off[gateway]
             });
             let others: Vec<usize> = others.collect();
             let peers = PeerDemand {
                 units_per_s: others.iter().map(|&other| demands[other]).sum(),
                 spent_units: others.iter().map(|&other| self.spent[other]).sum(),
-                gateways: GATEWAYS as u32,
+                gateways: self.gateways(),
                 live_gateways: others.len() as u32 + 1,
             };
-            self.accounts[gateway].on_reports(now, "acme", &peers);
+            self.accounts[gateway].on_reports(now, &self.organisation, &peers);
         }
     }
 
@@ -81,7 +98,7 @@
         for (turn, at_ms) in (0..seconds * 1_000).step_by(step_ms as usize).enumerate() {
             if at_ms >= next_report_ms {
                 self.report(ms(at_ms));
-                next_report_ms += REPORT_INTERVAL_MS;
+                next_report_ms += self.report_interval_ms;
             }
             self.ask(ms(at_ms), gateways[turn % gateways.len()], units);
         }
@@ -99,15 +116,15 @@
 
 /// What the deployment allows in a window of eight seconds.
 fn allowed(units_per_s: f64) -> f64 {
-    (units_per_s * 8.0 + units_per_s) * 1.1 + GROUP.slack_units
+    (units_per_s * 8.0 + units_per_s) * 1.1 + QUOTA.slack_units
 }
 
 #[test]
 fn a_request_larger_than_a_gateway_s_share_is_admitted_while_the_balance_suffices() {
-    let mut accounts = Accounts::default();
+    let mut accounts = Accounts::new(QUOTA);
     let small = organisation("small", 18_000.0);
     let cost = prompt_cost(9_250.0);
-    assert!(accounts.spend(ms(0), &small, &GROUP, &cost).is_ok());
+    assert!(accounts.spend(ms(0), &small, GATEWAYS as u32, &cost).is_ok());
 }
 
 #[test]
@@ -137,6 +154,34 @@
     }
 }
 
+#[test]
+fn many_gateways_refuse_little_of_a_demand_near_the_quota() {
+    let units_per_s = 1_458_000.0;
+    let mut fleet = Fleet::of(MANY_GATEWAYS, LONG_REPORT_INTERVAL_MS, units_per_s);
+    let mut random = ChaCha8Rng::seed_from_u64(1);
+    let asked = 12 * 142;
+    for number in 0..asked {
+        if number % 85 == 0 {
+            fleet.report(ms(number * 7));
+        }
+        let gateway = random.random_range(0..MANY_GATEWAYS);
+        fleet.ask(ms(number * 7), gateway, 9_200.0);
+    }
+    assert!(u64::from(fleet.refused) < asked / 5, "{} of {asked} refused", fleet.refused);
+}
+
+#[test]
+fn many_gateways_do_not_exceed_what_is_allowed() {
+    for units_per_s in [18_000.0, 300_000.0, 1_458_000.0] {
+        let mut fleet = Fleet::of(MANY_GATEWAYS, LONG_REPORT_INTERVAL_MS, units_per_s);
+        let gateways: Vec<usize> = (0..MANY_GATEWAYS).collect();
+        let per_s = (units_per_s * 7.5 / 9_000.0).ceil() as u64;
+        fleet.run(24, per_s.min(1_000), 9_000.0, &gateways);
+        let most = fleet.most_in_window(Duration::from_secs(8));
+        assert!(most <= allowed(units_per_s), "{most} of {}", allowed(units_per_s));
+    }
+}
+
 #[test]
 fn gateways_that_are_cut_off_stay_within_what_is_allowed() {
     let units_per_s = 100_000.0;
@@ -150,25 +195,26 @@
 
 #[test]
 fn plain_requests_pass_while_prompts_have_spent_the_quota() {
-    let mut accounts = Accounts::default();
+    let mut accounts = Accounts::new(QUOTA);
     let small = organisation("small", 18_000.0);
     for _ in 0..4 {
-        let _ = accounts.spend(ms(0), &small, &GROUP, &prompt_cost(9_000.0));
+        let _ = accounts.spend(ms(0), &small, GATEWAYS as u32, &prompt_cost(9_000.0));
     }
-    assert!(accounts.spend(ms(0), &small, &GROUP, &prompt_cost(9_000.0)).is_err());
+    assert!(accounts.spend(ms(0), &small, GATEWAYS as u32, &prompt_cost(9_000.0)).is_err());
     let plain = Cost { units: 200.0, is_plain: true };
-    assert!(accounts.spend(ms(0), &small, &GROUP, &plain).is_ok());
-    let passed =
-        (0..1_000).filter(|_| accounts.spend(ms(0), &small, &GROUP, &plain).is_ok()).count();
-    assert!(passed as f64 * 200.0 <= GROUP.slack_units, "{passed} passed");
+    assert!(accounts.spend(ms(0), &small, GATEWAYS as u32, &plain).is_ok());
+    let passed = (0..1_000)
+        .filter(|_| accounts.spend(ms(0), &small, GATEWAYS as u32, &plain).is_ok())
+        .count();
+    assert!(passed as f64 * 200.0 <= QUOTA.slack_units, "{passed} passed");
 }
 
 #[test]
 fn what_did_not_run_is_given_back() {
-    let mut accounts = Accounts::default();
+    let mut accounts = Accounts::new(QUOTA);
     let small = organisation("small", 18_000.0);
-    assert!(accounts.spend(ms(0), &small, &GROUP, &prompt_cost(18_000.0)).is_ok());
-    assert!(accounts.spend(ms(0), &small, &GROUP, &prompt_cost(18_000.0)).is_err());
+    assert!(accounts.spend(ms(0), &small, GATEWAYS as u32, &prompt_cost(18_000.0)).is_ok());
+    assert!(accounts.spend(ms(0), &small, GATEWAYS as u32, &prompt_cost(18_000.0)).is_err());
     accounts.refund("small", 18_000.0);
-    assert!(accounts.spend(ms(0), &small, &GROUP, &prompt_cost(18_000.0)).is_ok());
+    assert!(accounts.spend(ms(0), &small, GATEWAYS as u32, &prompt_cost(18_000.0)).is_ok());
 }
--- a/forwarding/tests/support/mod.rs
+++ b/forwarding/tests/support/mod.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use forwarding::endpoints::Entry;
+use forwarding::quota::QuotaBounds;
 use forwarding::release::{
     Destination, Kind, Limits, Organisation, Quota, Release, Route, Service, Unit,
 };
@@ -14,6 +15,10 @@
 pub(crate) const SERVICE: &str = "writers";
 pub(crate) const DESK: &str = "desk";
 
+/// By how much quotas may be exceeded.
+pub(crate) const QUOTA: QuotaBounds =
+    QuotaBounds { window: Duration::from_secs(8), overshoot: 0.1, slack_units: 72_000.0 };
+
 pub(crate) fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
 }
@@ -33,7 +38,7 @@
         orders_replicas: true,
         memory_bytes: 1 << 28,
         heartbeat: ms(1_200),
-        bounds: Bounds { retry_slack: 56.0, quota_slack_units: 72_000.0, ..Bounds::default() },
+        bounds: Bounds { retry_slack: 56.0, quota: QUOTA, ..Bounds::default() },
     }
 }
 
