Explain a request from the gateways' logs

Cause: the way from a request's id to its cause was a grep over all logs, then another for its endpoint, and clocks that differ put lines in a wrong order.

`rhubarbrock explain ID LOG...` shows the request's lines and, within three seconds around them, what gateways believed of its endpoints, and of store, release and duties at its own gateway. Gateways whose clocks are seconds off are set right by the releases in force that all of them log. Lines that are no log lines are counted and told; a request that no line names has its own exit code.

Ruled out: reading the gateways' memory (they keep no time line, and an on-call engineer has only logs), and a service that collects lines (another process).

--- a/rhubarbrock-cli/src/main.rs
+++ b/rhubarbrock-cli/src/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod exit;
+mod explain;
 mod http;
 mod log;
 mod publish;
@@ -30,6 +31,7 @@
 #[argh(subcommand)]
 enum Command {
     Check(check::Check),
+    Explain(explain::Explain),
     Publish(publish::Publish),
     Show(show::Show),
     Status(status::Status),
@@ -71,6 +73,7 @@
     runtime.block_on(async {
         match command {
             Command::Check(command) => command.run().await,
+            Command::Explain(command) => command.run(),
             Command::Publish(command) => command.run().await,
             Command::Show(command) => command.run().await,
             Command::Status(command) => command.run().await,
