Hold a suspect until the other nodes' news of its crashes has come

Cause: a node judged a suspect at once by its own requests alone. A batch mate whose endpoints were crashed twice by a poisonous request of another node looked like the sole suspect of both crashes and was quarantined, its stream ended; the news that the other node's request shared these crashes came a second later. In the same second each node let the poison crash two endpoints of its own: five in all, bound three.

Change: a suspect with crashes enough that nobody shares is held for 2.5 s, the time of two intervals of news and a lost datagram, then judged with what others told. While held it does not run: callers are refused with the rest of the time, accepted requests wait. What another node has quarantined is so at once.

--- a/rhubarbrock/src/node.rs
+++ b/rhubarbrock/src/node.rs
@@ -124,7 +124,7 @@
             custody: custody::Custody::new(custody::Config::default(), own_place(&config)),
             drain: drain::Drain::new(drain_config(&config)),
             retries: retry::Retries::new(retry::Config::new(), config.random_seed),
-            quarantine: quarantine::Quarantine::new(quarantine::Config::default()),
+            quarantine: quarantine::Quarantine::new(node_poison::quarantine_config()),
             crashes: BTreeMap::new(),
             waiting_finds: Vec::new(),
             platform: node_platform::View::default(),
@@ -190,7 +190,8 @@
             self.tick_platform();
             self.tick_drain();
             self.tell_news();
-            self.quarantine.tick(self.now);
+            let quarantined = self.quarantine.tick(self.now);
+            self.quarantine_all(&quarantined);
         }
         self.dispatch();
         self.take_actions()
@@ -259,6 +260,12 @@
                 self.fail_model(request, node_poison::POISON.to_owned());
                 continue;
             }
+            if let Some(Work::Model(request)) = self.work.get(&ticket)
+                && let Some(until) = self.held_until(self.models[request].record.fingerprint)
+            {
+                self.delayed.insert((until, ticket));
+                continue;
+            }
             let exclude = match self.work.get(&ticket) {
                 Some(Work::Model(request)) => {
                     let held = &self.models[request];
--- a/rhubarbrock/src/node_poison.rs
+++ b/rhubarbrock/src/node_poison.rs
@@ -13,6 +13,18 @@
 /// Shown where a request is given up because of the endpoints that it crashed.
 pub(crate) const POISON: &str = "the request crashed the endpoints that ran it";
 
+/// Time in which the other nodes' news of a crash comes: two intervals of membership, and half
+/// of one for a datagram that is lost.
+const NEWS_TIME: Duration = Duration::from_millis(2_500);
+
+/// Pause where a held request is due before its crashes were judged, at the next slow tick.
+const JUDGING_PAUSE: Duration = Duration::from_millis(100);
+
+/// Bounds of suspicion in a node among others.
+pub(crate) fn quarantine_config() -> quarantine::Config {
+    quarantine::Config { settle: NEWS_TIME, ..quarantine::Config::default() }
+}
+
 impl Node {
     /// Refuses a request that crashed endpoints before; true where it did.
     pub(crate) fn refuse_quarantined(
@@ -20,9 +32,15 @@
         call: event::CallId,
         fingerprint: id::Fingerprint,
     ) -> bool {
-        let standing = self.quarantine.standing(self.now, fingerprint);
-        let quarantine::Standing::Quarantined { until } = standing else { return false };
-        let detail = "the request crashed the endpoints that ran it before";
+        let (until, detail) = match self.quarantine.standing(self.now, fingerprint) {
+            quarantine::Standing::Free | quarantine::Standing::Suspect => return false,
+            quarantine::Standing::Held { until } => {
+                (until, "the request may have crashed endpoints")
+            }
+            quarantine::Standing::Quarantined { until } => {
+                (until, "the request crashed the endpoints that ran it before")
+            }
+        };
         let rest = until.saturating_sub(self.now);
         self.refuse(call, action::RefusalKind::Quarantined, detail, Some(rest));
         true
@@ -65,7 +83,7 @@
         self.quarantine_all(&found);
     }
 
-    fn quarantine_all(&mut self, fingerprints: &[id::Fingerprint]) {
+    pub(crate) fn quarantine_all(&mut self, fingerprints: &[id::Fingerprint]) {
         for fingerprint in fingerprints {
             self.counters.quarantined += 1;
             let message = format!("fingerprint {fingerprint:016x}");
@@ -74,6 +92,14 @@
         }
     }
 
+    /// Until when a request with this fingerprint has to wait.
+    pub(crate) fn held_until(&self, fingerprint: id::Fingerprint) -> Option<Duration> {
+        match self.quarantine.standing(self.now, fingerprint) {
+            quarantine::Standing::Held { until } => Some(until.max(self.now + JUDGING_PAUSE)),
+            _ => None,
+        }
+    }
+
     pub(crate) fn is_quarantined(&self, fingerprint: id::Fingerprint) -> bool {
         let standing = self.quarantine.standing(self.now, fingerprint);
         matches!(standing, quarantine::Standing::Quarantined { .. })
--- a/rhubarbrock/src/quarantine.rs
+++ b/rhubarbrock/src/quarantine.rs
@@ -6,6 +6,8 @@
 //! them apart; one that finishes is cleared. A suspect of several crashes that no
 //! other suspect shares is quarantined for a time and refused. After that time
 //! it may run again as a suspect, so that an innocent request clears itself.
+//! Another node's request may have caused the same crashes, so the suspect is
+//! first held until the other nodes' news must have come.
 //!
 //! Endpoints that crash together, as with a data centre or a rack, are no sign of
 //! a poisonous request and make no suspects, apart from what they have in common.
@@ -26,6 +28,8 @@
 pub struct Config {
     /// Crashes after which a sole suspect is quarantined.
     pub after_crashes: usize,
+    /// Time for which a suspect is held before it is quarantined: that of other nodes' news.
+    pub settle: Duration,
     /// Length of the first quarantine; doubled at each further one of the same request.
     pub quarantine: Duration,
     /// Longest quarantine.
@@ -44,6 +48,7 @@
     fn default() -> Config {
         Config {
             after_crashes: 2,
+            settle: Duration::ZERO,
             quarantine: Duration::from_secs(600),
             longest_quarantine: Duration::from_secs(4 * 3600),
             suspicion: Duration::from_secs(1200),
@@ -61,6 +66,11 @@
     Free,
     /// It may run where no other suspect runs.
     Suspect,
+    /// It may not run until its crashes are judged.
+    Held {
+        /// When that is.
+        until: Duration,
+    },
     /// It is refused.
     Quarantined {
         /// Until then.
@@ -73,6 +83,7 @@
     crashes: BTreeSet<EndpointId>,
     last_crash: Duration,
     quarantined_until: Option<Duration>,
+    held_until: Option<Duration>,
     /// Number of quarantines so far.
     quarantines: u32,
 }
@@ -121,7 +132,10 @@
             None => Standing::Free,
             Some(suspect) => match suspect.quarantined_until {
                 Some(until) if now < until => Standing::Quarantined { until },
-                _ => Standing::Suspect,
+                _ => match suspect.held_until {
+                    Some(until) => Standing::Held { until },
+                    None => Standing::Suspect,
+                },
             },
         }
     }
@@ -135,7 +149,7 @@
     ) -> bool {
         match self.standing(now, fingerprint) {
             Standing::Free => true,
-            Standing::Quarantined { .. } => false,
+            Standing::Held { .. } | Standing::Quarantined { .. } => false,
             Standing::Suspect => !running.iter().any(|other| self.suspects.contains_key(other)),
         }
     }
@@ -202,14 +216,28 @@
         ranked.into_iter().map(|(is_free, _, print)| self.news(now, !is_free, print)).collect()
     }
 
-    /// Time passes: old suspicions end.
-    pub fn tick(&mut self, now: Duration) {
+    /// Time passes: old suspicions end, and those held long enough are judged. Gives what is
+    /// quarantined by it.
+    pub fn tick(&mut self, now: Duration) -> Vec<Fingerprint> {
+        let is_due = |suspect: &Suspect| suspect.held_until.is_some_and(|until| now >= until);
+        let due: Vec<Fingerprint> = self
+            .suspects
+            .iter()
+            .filter(|(_, suspect)| is_due(suspect))
+            .map(|(&fingerprint, _)| fingerprint)
+            .collect();
+        let quarantined = self.judge(now, &due);
+        for suspect in self.suspects.values_mut().filter(|suspect| is_due(suspect)) {
+            suspect.held_until = None;
+        }
+
         let suspicion = self.config.suspicion;
         self.suspects.retain(|_, suspect| {
             let end = suspect.last_crash + suspicion;
             now <= end.max(suspect.quarantined_until.map_or(end, |until| until + suspicion))
         });
         self.cleared.retain(|_, at| now <= *at + suspicion);
+        quarantined
     }
 
     fn news(&self, now: Duration, quarantined: bool, fingerprint: Fingerprint) -> peer::Suspect {
@@ -233,6 +261,7 @@
             crashes: BTreeSet::new(),
             last_crash: crashed_at,
             quarantined_until: None,
+            held_until: None,
             quarantines: 0,
         });
         suspect.last_crash = suspect.last_crash.max(crashed_at);
@@ -258,19 +287,29 @@
         }
     }
 
-    /// Quarantines those that have crashes enough which no other suspect shares.
+    /// Holds those that have crashes enough which no other suspect shares, and quarantines them
+    /// if that still holds after the time.
     fn judge(&mut self, now: Duration, touched: &[Fingerprint]) -> Vec<Fingerprint> {
         let mut quarantined = Vec::new();
         for &fingerprint in touched {
-            let Standing::Suspect = self.standing(now, fingerprint) else { continue };
+            let is_settled = match self.standing(now, fingerprint) {
+                Standing::Suspect => self.config.settle.is_zero(),
+                Standing::Held { until } if now >= until => true,
+                Standing::Free | Standing::Held { .. } | Standing::Quarantined { .. } => continue,
+            };
             let suspect = &self.suspects[&fingerprint];
             let has_new_crash =
                 suspect.quarantined_until.is_none_or(|until| suspect.last_crash >= until);
             let is_enough = suspect.crashes.len() >= self.config.after_crashes;
-            if has_new_crash && is_enough && self.is_sole(fingerprint) {
+            if !has_new_crash || !is_enough || !self.is_sole(fingerprint) {
+                continue;
+            }
+            if is_settled {
                 let crashed_at = suspect.last_crash;
                 self.quarantine(now, crashed_at, fingerprint);
                 quarantined.push(fingerprint);
+            } else if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+                suspect.held_until = Some(now + self.config.settle);
             }
         }
         quarantined
--- a/rhubarbrock/tests/quarantine.rs
+++ b/rhubarbrock/tests/quarantine.rs
@@ -108,3 +108,38 @@
         }
     });
 }
+
+/// A suspect that is held until the others' news must have come.
+fn held(crashes: &[u64]) -> Quarantine {
+    let settle = Duration::from_secs(2);
+    let mut quarantine = Quarantine::new(Config { settle, ..Config::default() });
+    for (second, &endpoint) in crashes.iter().enumerate() {
+        assert!(quarantine.on_crash(at(second as u64), endpoint, &[MATE]).is_empty());
+    }
+    quarantine
+}
+
+#[test]
+fn a_suspect_is_held_and_then_quarantined() {
+    let mut quarantine = held(&[1, 2]);
+    assert_eq!(quarantine.standing(at(1), MATE), Standing::Held { until: at(3) });
+    assert!(!quarantine.may_place(at(1), MATE, &[]));
+    assert!(quarantine.tick(at(2)).is_empty());
+    assert_eq!(quarantine.tick(at(3)), [MATE]);
+    assert!(matches!(quarantine.standing(at(3), MATE), Standing::Quarantined { .. }));
+}
+
+#[test]
+fn a_mate_of_another_node_s_suspect_is_let_go_when_the_news_comes() {
+    let mut quarantine = held(&[1, 2]);
+    let poison = peer::Suspect {
+        fingerprint: POISON,
+        crashed_endpoints: vec![1, 2, 3],
+        quarantined: true,
+        age_ms: 0,
+    };
+    quarantine.on_peer_suspects(at(2), &[poison]);
+    assert!(quarantine.tick(at(3)).is_empty());
+    assert_eq!(quarantine.standing(at(3), MATE), Standing::Suspect);
+    assert!(quarantine.may_place(at(3), MATE, &[]));
+}
--- a/rhubarbrockd/tests/process.rs
+++ b/rhubarbrockd/tests/process.rs
@@ -352,7 +352,6 @@
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-#[ignore = "known red: see KNOWN-RED.txt"]
 async fn poison_sent_again_and_again_takes_few_endpoints_and_no_mate() {
     let path = Path::start_with(slow_engines()).await;
     let guides = guides("mates", 150);
