Test that a blocked log reader slows nothing and that refusals have their lines

The first starts a gateway whose standard output nobody reads, fills pipe and queue with 7,000 refusals, and asks that 50 requests are served within 0.3 s each and that the next line tells what was dropped. The second compares refusals and failed attempts, by request, with the lines of the log.

Ruled out: an in-process logger, which would not have the pipe. No change of the product.

--- /dev/null
+++ b/rhubarbrockd/tests/gateway_logs.rs
@@ -0,0 +1,159 @@
+//! Logs of a gateway as a process.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io::Read as _;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use platform_standins::config::{self, HOST, KEY};
+use platform_standins::replica::{Mode, Replica};
+use platform_standins::store::Store;
+use tokio::net::TcpStream;
+use tokio::time;
+
+/// Requests whose lines fill the pipe's 64 KiB and the queue of 4,096 lines.
+const MANY: u32 = 7_000;
+
+/// Time in which a request is answered, log or not.
+const PROMPT: Duration = Duration::from_millis(300);
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+struct Gateway {
+    child: Child,
+    callers: SocketAddr,
+    replica: Replica,
+    sender: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Gateway {
+    /// A gateway before one replica; its log goes to `stdout`.
+    async fn start(host: u8, stdout: Stdio) -> Gateway {
+        let store = Store::default();
+        let replica = Replica::start("r0").await;
+        store.write_replica(&replica.id, &replica.entry("desk", "ready", 1));
+        store.write_config(&config::config(1));
+        let ip = Ipv4Addr::new(127, 90, (std::process::id() % 250) as u8, host).into();
+        let is_free = |port: u16| TcpListener::bind((ip, port)).is_ok();
+        let mut ports = (13_000..20_000).step_by(4);
+        let port = ports.find(|&port| (port..port + 4).all(is_free)).expect("a free port");
+        let name = format!("g{host}");
+        let node = config::Node { name, ip, port, store: store.start().await, bound_ms: 2_000 };
+        let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{host}.settings"));
+        fs::write(&settings, config::settings(&node)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
+            .arg("gateway")
+            .env("RHUBARBROCK_NODE_FILE", &settings)
+            .stdout(stdout)
+            .spawn()
+            .expect("rhubarbrockd starts");
+        let callers = SocketAddr::new(ip, port);
+        let mut gateway = Gateway { child, callers, replica, sender: None };
+        let started = Instant::now();
+        while gateway.ask("start", KEY).await != Some(StatusCode::OK) {
+            assert!(started.elapsed() < LIMIT, "the gateway does not serve");
+            time::sleep(Duration::from_millis(50)).await;
+        }
+        gateway
+    }
+
+    /// One request over a kept connection.
+    async fn ask(&mut self, id: &str, key: &str) -> Option<StatusCode> {
+        if self.sender.as_ref().is_none_or(SendRequest::is_closed) {
+            let stream = TcpStream::connect(self.callers).await.ok()?;
+            let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+            tokio::spawn(connection);
+            self.sender = Some(sender);
+        }
+        let sender = self.sender.as_mut()?;
+        sender.ready().await.ok()?;
+        let request = Request::post("/order/1")
+            .header("Host", HOST)
+            .header("Attempt-Id", id)
+            .header("X-Api-Key", key)
+            .header("Deadline-Ms", "2000");
+        let request = request.body(Full::new(Bytes::from_static(b"order"))).unwrap();
+        let answer = sender.send_request(request).await.ok()?;
+        let status = answer.status();
+        answer.into_body().collect().await.ok()?;
+        Some(status)
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+#[tokio::test]
+async fn a_reader_that_blocks_slows_no_request_and_hears_what_was_dropped() {
+    let mut gateway = Gateway::start(1, Stdio::piped()).await;
+    for number in 0..MANY {
+        let status = gateway.ask(&format!("refused-{number}"), "nobody's key").await;
+        assert_eq!(status, Some(StatusCode::UNAUTHORIZED));
+    }
+    let mut slowest = Duration::ZERO;
+    for number in 0..50 {
+        let asked_at = Instant::now();
+        let status = gateway.ask(&format!("served-{number}"), KEY).await;
+        assert_eq!(status, Some(StatusCode::OK));
+        slowest = slowest.max(asked_at.elapsed());
+    }
+    assert!(slowest < PROMPT, "{slowest:?} while nobody reads the log");
+    let mut pipe = gateway.child.stdout.take().unwrap();
+    let reader = std::thread::spawn(move || {
+        let mut text = Vec::new();
+        let _ = pipe.read_to_end(&mut text);
+        String::from_utf8_lossy(&text).into_owned()
+    });
+    time::sleep(Duration::from_millis(500)).await;
+    // What was dropped is told with the next line.
+    gateway.ask("last", "nobody's key").await;
+    time::sleep(Duration::from_millis(500)).await;
+    drop(gateway);
+    let text = reader.join().unwrap();
+    assert!(text.contains("dropped"), "{} bytes tell of no dropped line", text.len());
+}
+
+#[tokio::test]
+async fn each_refusal_and_each_failed_attempt_has_its_line() {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("lines.log");
+    let mut gateway = Gateway::start(2, fs::File::create(&path).unwrap().into()).await;
+    for number in 0..20 {
+        gateway.ask(&format!("unknown-{number}"), "nobody's key").await;
+    }
+    gateway.replica.set_mode(Mode::Break);
+    assert_eq!(gateway.ask("broken", KEY).await, Some(StatusCode::BAD_GATEWAY));
+    gateway.replica.set_mode(Mode::Full);
+    let refused = gateway.ask("full", KEY).await;
+    assert_eq!(refused, Some(StatusCode::SERVICE_UNAVAILABLE));
+    time::sleep(Duration::from_millis(500)).await;
+    drop(gateway);
+    let mut counts: BTreeMap<(String, String), u32> = BTreeMap::new();
+    for line in fs::read_to_string(&path).unwrap().lines() {
+        let line: serde_json::Value = serde_json::from_str(line).expect("each line is JSON");
+        let text = |name: &str| line[name].as_str().unwrap_or_default().to_owned();
+        assert!(!text("ts").is_empty() && !text("gateway").is_empty(), "{line}");
+        *counts.entry((text("msg"), text("request"))).or_default() += 1;
+    }
+    let count = |message: &str, request: &str| {
+        counts.get(&(message.to_owned(), request.to_owned())).copied().unwrap_or_default()
+    };
+    for number in 0..20 {
+        assert_eq!(count("request not answered", &format!("unknown-{number}")), 1);
+    }
+    for request in ["broken", "full"] {
+        assert_eq!(count("request not answered", request), 1, "{request}");
+        assert!(count("attempt failed", request) >= 1, "{request}");
+    }
+}
