Read on while entries that lapsed may be renewed

After an outage in which entries lapse, gateways list an empty topic and give each endpoint 2.3 s to renew its entry. Since readers count by freshness, all gateways read during an outage, and most stopped reading as soon as the store answered: renewals no longer reached them, their endpoints lapsed, and they told the others that these had left (503s in seconds 48 to 51).

Change: a gateway with an entry that waits for its renewal goes on reading.

Test: a_gateway_that_waits_for_renewed_entries_reads_itself.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -245,7 +245,11 @@
         let rank = self.peers.reader_rank_of(now, freshness, &self.settings.name);
         let readers = self.peers.readers(now, freshness);
         let is_alike = self.peers.has_reader_with(now, self.endpoints.hash());
-        self.reading = self.reading.next(now, rank, readers, is_alike);
+        // Renewals come from the store alone; reports tell of those that join and leave.
+        self.reading = match self.endpoints.is_waiting_for_renewals() {
+            true => Reading::Reader,
+            false => self.reading.next(now, rank, readers, is_alike),
+        };
         self.reading
     }
 
--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -260,6 +260,11 @@
         (now < until).then_some(until)
     }
 
+    /// Whether an entry lapsed whose endpoint may still renew it.
+    pub fn is_waiting_for_renewals(&self) -> bool {
+        self.endpoints.values().any(|endpoint| endpoint.lapses_at.is_some())
+    }
+
     /// Drops endpoints whose entries lapsed and did not come back, and old departures.
     pub fn tick(&mut self, now: Duration) -> Vec<EndpointId> {
         let is_lapsed =
--- a/forwarding/tests/readers.rs
+++ b/forwarding/tests/readers.rs
@@ -2,10 +2,11 @@
 
 mod support;
 
+use forwarding::dispatcher::Dispatcher;
 use forwarding::peers::Peers;
 use forwarding::readers::{Reading, StoreAnswers};
 use rhubarbrock_schema::gossip;
-use support::ms;
+use support::{DESK, entry, ms, settings};
 
 /// Takes a report of a gateway that follows the store, `store_age_ms` after it was answered.
 fn hear(peers: &mut Peers, now_ms: u64, name: &str, sequence: u64, store_age_ms: u32) {
@@ -62,6 +63,23 @@
     assert_eq!(peers.readers(ms(900), ms(1_000)), 0);
 }
 
+#[test]
+fn a_gateway_that_waits_for_renewed_entries_reads_itself() {
+    let mut dispatcher = Dispatcher::new(settings("z"));
+    for name in ["a", "b", "c"] {
+        hear(&mut dispatcher.peers, 0, name, 1, 0);
+    }
+    dispatcher.endpoints.on_entry(ms(0), entry("d1", DESK, 1, 1));
+    assert!(!dispatcher.update_reading(ms(10)).is_reader());
+    // The store comes back, and the entry has lapsed meanwhile.
+    dispatcher.endpoints.on_store_lost();
+    dispatcher.endpoints.on_store_back(ms(20));
+    dispatcher.endpoints.on_snapshot(ms(20), Vec::new());
+    assert!(dispatcher.update_reading(ms(30)).is_reader());
+    dispatcher.endpoints.on_entry(ms(40), entry("d1", DESK, 1, 2));
+    assert!(!dispatcher.update_reading(ms(50)).is_reader());
+}
+
 #[test]
 fn the_age_of_news_is_that_of_the_older_topic() {
     let mut answers = StoreAnswers { releases: None, entries: Some(ms(900)) };
