Say once what the gateways said twice

Reading the change again found, in the gateways, the same thing written twice or done in the wrong place; behaviour, log lines and bounds stay as they are.

- Readiness, metrics and handovers were accepted by the same loop in two files: `server::serve` is the one loop.
- The time of day by the median of all gateways' clocks was reckoned for usage in the dispatcher and again in the duties: `Peers::common_wall`.
- Connections of answers read to the end went back to the pool by the same lines in the exchange and the relay, which held a copy of two fields of the answer's head for it: `Exchange::give_back`, and the relay keeps the head.
- Suspects that are too old were looked for with each request; that is done with the reports now, and a request only asks.
- Reading a body took the lock of the decisions twice, now once.
- Stray bytes needed a whole target built from an id; they take the id.

Ruled out: the two followers of the store, which look alike but differ in what ends their waits; and the median of clocks being kept between reports, which would change when a step of a clock is noticed.

Tests: unchanged but for the time that `set_peers` takes.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -355,10 +355,8 @@
             self.meter.on_first_event(now, &ticket.service, is_late);
         }
         if let Some(organisation) = &ticket.organisation {
-            let correction_ms = self.peers.clock_correction_ms(now);
-            let wall_ms = (wall.as_millis() as i64 + correction_ms).max(0) as u64;
             let length = self.settings.bounds.usage_window;
-            let window = usage::window_at(Duration::from_millis(wall_ms), length);
+            let window = usage::window_at(self.peers.common_wall(now, wall), length);
             self.usage.on_run(window, organisation);
         }
     }
@@ -423,8 +421,8 @@
     }
 
     /// An endpoint sent bytes that belong to no answer.
-    pub fn on_stray_bytes(&mut self, now: Duration, target: &Target) {
-        self.endpoints.on_stray_bytes(&target.id, now + UNTIDY_PAUSE);
+    pub fn on_stray_bytes(&mut self, now: Duration, endpoint: &str) {
+        self.endpoints.on_stray_bytes(endpoint, now + UNTIDY_PAUSE);
     }
 
     /// Work asked of a service at all gateways.
@@ -444,6 +442,6 @@
                 self.accounts.on_reports(now, organisation, demand);
             }
         }
-        self.suspects.set_peers(self.peers.suspects());
+        self.suspects.set_peers(now, self.peers.suspects());
     }
 }
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -229,10 +229,16 @@
         suspects
     }
 
+    /// The time of day `wall` by the median of all gateways' clocks.
+    pub fn common_wall(&self, now: Duration, wall: Duration) -> Duration {
+        let wall_ms = wall.as_millis() as i64 + self.clock_correction_ms(now);
+        Duration::from_millis(wall_ms.max(0) as u64)
+    }
+
     /// How far the median clock of all gateways is ahead of ours, in milliseconds.
     ///
     /// A small difference counts as none.
-    pub fn clock_correction_ms(&self, now: Duration) -> i64 {
+    fn clock_correction_ms(&self, now: Duration) -> i64 {
         let mut ahead: Vec<i64> = self.live(now).map(|peer| peer.clock_ahead_ms).collect();
         ahead.push(0);
         ahead.sort_unstable();
--- a/forwarding/src/suspects.rs
+++ b/forwarding/src/suspects.rs
@@ -87,14 +87,14 @@
         }
     }
 
-    /// Sets what the other gateways saw.
-    pub fn set_peers(&mut self, peers: HashMap<Fingerprint, Vec<Sightings>>) {
+    /// Sets what the other gateways saw, and forgets what is old.
+    pub fn set_peers(&mut self, now: Duration, peers: HashMap<Fingerprint, Vec<Sightings>>) {
         self.peers = peers;
+        self.own.retain(|_, seen| now < seen.last() + MEMORY);
     }
 
     /// Whether a request has to be refused.
-    pub fn is_refused(&mut self, now: Duration, fingerprint: Fingerprint) -> bool {
-        self.own.retain(|_, seen| now < seen.last() + MEMORY);
+    pub fn is_refused(&self, now: Duration, fingerprint: Fingerprint) -> bool {
         let peers = self.peers.get(&fingerprint).into_iter().flatten();
         let all: Vec<&Sightings> = peers.chain(self.own.get(&fingerprint)).collect();
         let finished_at = all.iter().filter_map(|seen| seen.finished_at).max();
--- a/forwarding/tests/suspects.rs
+++ b/forwarding/tests/suspects.rs
@@ -27,7 +27,7 @@
         suspects.on_break(ms(turn), REQUEST, 1);
     }
     let seen = Sightings { breaks: vec![(1, ms(5))], finished_at: None };
-    suspects.set_peers(HashMap::from([(REQUEST, vec![seen; 5])]));
+    suspects.set_peers(ms(30), HashMap::from([(REQUEST, vec![seen; 5])]));
     assert!(!suspects.is_refused(ms(30), REQUEST));
 }
 
@@ -36,7 +36,7 @@
     let mut suspects = Suspects::default();
     suspects.on_break(ms(0), REQUEST, 1);
     let seen = |endpoint| Sightings { breaks: vec![(endpoint, ms(5))], finished_at: None };
-    suspects.set_peers(HashMap::from([(REQUEST, vec![seen(2), seen(3)])]));
+    suspects.set_peers(ms(30), HashMap::from([(REQUEST, vec![seen(2), seen(3)])]));
     assert!(suspects.is_refused(ms(30), REQUEST));
 }
 
@@ -47,7 +47,7 @@
         suspects.on_break(ms(endpoint), REQUEST, endpoint);
     }
     let ended = Sightings { breaks: Vec::new(), finished_at: Some(ms(50)) };
-    suspects.set_peers(HashMap::from([(REQUEST, vec![ended])]));
+    suspects.set_peers(ms(60), HashMap::from([(REQUEST, vec![ended])]));
     assert!(!suspects.is_refused(ms(60), REQUEST));
     for endpoint in 4..7 {
         suspects.on_break(ms(60 + endpoint), REQUEST, endpoint);
@@ -61,7 +61,7 @@
     suspects.on_finished(ms(0), REQUEST);
     assert!(suspects.told().is_empty(), "nobody suspects it");
     let seen = Sightings { breaks: vec![(1, ms(0))], finished_at: None };
-    suspects.set_peers(HashMap::from([(REQUEST, vec![seen])]));
+    suspects.set_peers(ms(5), HashMap::from([(REQUEST, vec![seen])]));
     suspects.on_finished(ms(10), REQUEST);
     let ended = Sightings { breaks: Vec::new(), finished_at: Some(ms(10)) };
     assert_eq!(suspects.told(), [(REQUEST, &ended)]);
--- a/gateway/src/duties.rs
+++ b/gateway/src/duties.rs
@@ -89,16 +89,9 @@
         }
     }
 
-    /// Time of day by the median of all gateways' clocks.
-    fn wall(&self, now: Duration) -> Duration {
-        let correction_ms = self.context.dispatcher().peers.clock_correction_ms(now);
-        let wall_ms = self.context.wall().as_millis() as i64 + correction_ms;
-        Duration::from_millis(wall_ms.max(0) as u64)
-    }
-
     /// The next window to settle, once its counts are complete.
     fn due_window(&self, now: Duration) -> Option<(Window, Counts)> {
-        let wall = self.wall(now);
+        let wall = self.context.dispatcher().peers.common_wall(now, self.context.wall());
         let current = usage::window_at(wall.saturating_sub(SETTLING), self.window_length);
         let settled = self.lease.settled()?;
         let oldest = current.saturating_sub(MAX_WINDOWS_LATE);
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -168,6 +168,15 @@
         self.context.dispatcher().on_first_event(now, wall, &mut self.ticket, &current.target);
     }
 
+    /// Keeps the connection of an answer that was read to its end, if the endpoint does.
+    pub(crate) fn give_back(&self, connection: Connection, head: &AnswerHead) {
+        if let Some(current) = &self.current
+            && !head.is_last
+        {
+            self.context.pool.give_back(&current.target, connection, head.keep_alive);
+        }
+    }
+
     fn give_up(&self, refusal: Refusal) -> GiveUp {
         if self.ticket.runs > 0 {
             return GiveUp::Exhausted(refusal);
@@ -250,7 +259,7 @@
         let is_own = answer.head.attempt_id.as_deref() == Some(self.ticket.attempt_id.as_str());
         if !is_own {
             let now = self.context.now();
-            self.context.dispatcher().on_stray_bytes(now, target);
+            self.context.dispatcher().on_stray_bytes(now, &target.id);
             warn!(self.context.logger, "answer belongs to another request";
                 "request" => &self.ticket.attempt_id, "endpoint" => &target.id,
                 "answered" => answer.head.attempt_id.as_deref().unwrap_or("none"));
@@ -273,11 +282,7 @@
             Ok(Err(_)) => return Err(Outcome::Broken),
             Ok(Ok(body)) => body.to_bytes(),
         };
-        if let Some(current) = &self.current
-            && !head.is_last
-        {
-            self.context.pool.give_back(&current.target, connection, head.keep_alive);
-        }
+        self.give_back(connection, &head);
         let mut response = Response::new(body);
         *response.status_mut() = status;
         *response.headers_mut() = headers::encode_answer(&headers);
--- a/gateway/src/front.rs
+++ b/gateway/src/front.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forwarding::dispatcher::Refusal;
+use forwarding::dispatcher::{Dispatcher, Refusal};
 use forwarding::release::Limits;
 use forwarding::request::Request;
 use futures_util::stream;
@@ -64,7 +64,7 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let limits = limits(&context);
+    let limits = limits(&context.dispatcher());
     let mut closing = shutdown::closing(context.phase.clone());
     let service =
         hyper::service::service_fn(move |request| respond(context.clone(), request, caller));
@@ -87,8 +87,8 @@
     }
 }
 
-fn limits(context: &Context) -> Limits {
-    context.dispatcher().release().map(|release| release.limits).unwrap_or_default()
+fn limits(dispatcher: &Dispatcher) -> Limits {
+    dispatcher.release().map(|release| release.limits).unwrap_or_default()
 }
 
 async fn respond(
@@ -239,8 +239,10 @@
     body: Body,
     time_left: Option<Duration>,
 ) -> Result<Bytes, (StatusCode, &'static str)> {
-    let limits = limits(context);
-    let memory_bytes = context.dispatcher().settings.memory_bytes / BODY_MEMORY_DIVISOR;
+    let (limits, memory_bytes) = {
+        let dispatcher = context.dispatcher();
+        (limits(&dispatcher), dispatcher.settings.memory_bytes / BODY_MEMORY_DIVISOR)
+    };
     if context.body_bytes.load(Ordering::Relaxed) as u64 > memory_bytes {
         return Err((StatusCode::SERVICE_UNAVAILABLE, "request bodies take too much memory"));
     }
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -77,20 +77,15 @@
 }
 
 fn sweep(context: &Context) {
-    let untidy = context.pool.sweep();
-    let now = context.now();
-    for id in untidy {
-        let mut dispatcher = context.dispatcher();
-        let Some(endpoint) = dispatcher.endpoints.get(&id) else { continue };
-        let target = forwarding::dispatcher::Target {
-            id: id.clone(),
-            address: endpoint.entry.address,
-            born_ms: endpoint.entry.born_ms,
-            is_tidy: false,
+    for id in context.pool.sweep() {
+        let is_known = {
+            let mut dispatcher = context.dispatcher();
+            dispatcher.on_stray_bytes(context.now(), &id);
+            dispatcher.endpoints.get(&id).is_some()
         };
-        dispatcher.on_stray_bytes(now, &target);
-        drop(dispatcher);
-        warn!(context.logger, "endpoint sent bytes that belong to no answer"; "endpoint" => id);
+        if is_known {
+            warn!(context.logger, "endpoint sent bytes that belong to no answer"; "endpoint" => id);
+        }
     }
 }
 
--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -1,6 +1,5 @@
 //! Release and endpoints from another gateway, while the store does not answer.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,17 +7,15 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use platform::channel::Channel;
 use prost::Message;
 use rhubarbrock_schema::gossip;
-use slog::{info, warn};
+use slog::info;
 use tokio::net::TcpListener;
-use tokio::time;
 
 use crate::context::Context;
 use crate::gossip as reports;
+use crate::server::{self, Clients};
 use crate::store_watch;
 
 /// Path that the handover is asked at.
@@ -30,37 +27,12 @@
 /// Gateways asked at one try; one may be cut off, and one as new as this one.
 const MAX_ASKED: usize = 3;
 
-/// Time for which a connection may be idle; each is used once.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Each connection is used once.
+const GATEWAYS: Clients = Clients { name: "another gateway", idle_timeout: Duration::from_secs(5) };
 
 /// Hands release and endpoints to other gateways.
 pub(crate) async fn serve(context: Context, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let context = context.clone();
-                tokio::spawn(async move {
-                    let service = hyper::service::service_fn(move |request| {
-                        let response = respond(&context, &request);
-                        std::future::ready(Ok::<_, Infallible>(response))
-                    });
-                    let connection = http1::Builder::new()
-                        .timer(TokioTimer::new())
-                        .header_read_timeout(IDLE_TIMEOUT)
-                        .serve_connection(TokioIo::new(stream), service);
-                    // Its error is the other side's leaving.
-                    let _ = connection.await;
-                });
-            }
-            Err(error) => {
-                warn!(context.logger, "cannot accept another gateway"; "error" => %error);
-                time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    server::serve(context, listener, GATEWAYS, respond).await;
 }
 
 fn respond(context: &Context, request: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -25,5 +25,6 @@
 mod pool;
 mod relay;
 pub mod run;
+mod server;
 mod shutdown;
 mod store_watch;
--- a/gateway/src/observation.rs
+++ b/gateway/src/observation.rs
@@ -1,28 +1,20 @@
 //! Readiness for the balancer, and metrics.
 
-use std::convert::Infallible;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
-use slog::warn;
 use tokio::net::TcpListener;
-use tokio::time;
 
 use crate::context::Context;
+use crate::server::{self, Clients};
 use crate::shutdown::Phase;
 
-/// Time for which a connection for readiness or metrics may be idle; the balancer asks every
-/// second.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-
-/// Pause after a failed accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// The balancer asks every second.
+const OBSERVERS: Clients = Clients { name: "an observer", idle_timeout: Duration::from_secs(20) };
 
 /// Where metrics are served.
 const METRICS_PATH: &str = "/metrics";
@@ -33,30 +25,10 @@
     listener: TcpListener,
     metrics: Option<PrometheusHandle>,
 ) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let context = context.clone();
-                let metrics = metrics.clone();
-                tokio::spawn(async move {
-                    let service = hyper::service::service_fn(move |request| {
-                        let response = respond(&context, metrics.as_ref(), &request);
-                        std::future::ready(Ok::<_, Infallible>(response))
-                    });
-                    let connection = http1::Builder::new()
-                        .timer(TokioTimer::new())
-                        .header_read_timeout(IDLE_TIMEOUT)
-                        .serve_connection(TokioIo::new(stream), service);
-                    // Its error is the other side's leaving.
-                    let _ = connection.await;
-                });
-            }
-            Err(error) => {
-                warn!(context.logger, "cannot accept an observer"; "error" => %error);
-                time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    let respond = move |context: &Context, request: &Request<Incoming>| {
+        respond(context, metrics.as_ref(), request)
+    };
+    server::serve(context, listener, OBSERVERS, respond).await;
 }
 
 fn respond(
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use http::{HeaderMap, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use platform::headers::AnswerHead;
 use slog::info;
 use tokio::time;
 
@@ -47,8 +48,7 @@
 struct Source {
     body: Incoming,
     connection: Connection,
-    is_last: bool,
-    keep_alive: Option<Duration>,
+    head: AnswerHead,
 }
 
 enum Progress {
@@ -68,12 +68,7 @@
     let silence = exchange.ticket.gap_target.mul_f64(SILENT_GAPS).max(MIN_SILENCE);
     let mut relay = Relay {
         exchange,
-        source: Some(Source {
-            body,
-            connection,
-            is_last: head.is_last,
-            keep_alive: head.keep_alive,
-        }),
+        source: Some(Source { body, connection, head }),
         splitter: Splitter::default(),
         position,
         silence,
@@ -144,11 +139,8 @@
     }
 
     fn finish(&mut self) {
-        if let (Some(source), Some(current)) = (self.source.take(), &self.exchange.current)
-            && !source.is_last
-        {
-            let pool = &self.exchange.context.pool;
-            pool.give_back(&current.target, source.connection, source.keep_alive);
+        if let Some(source) = self.source.take() {
+            self.exchange.give_back(source.connection, &source.head);
         }
         self.exchange.succeed();
     }
@@ -165,8 +157,7 @@
             "request" => &self.exchange.ticket.attempt_id, "after_event" => last,
             "endpoint" => self.exchange.ticket.tried.last());
         let Answer { head, body, connection, .. } = answer;
-        self.source =
-            Some(Source { body, connection, is_last: head.is_last, keep_alive: head.keep_alive });
+        self.source = Some(Source { body, connection, head });
         Ok(())
     }
 
