Use one child process, one choice of ports, and a library's calendar

- Tests of nodes and the soak of gateways had the same signals, waits and ends of a process; the test of logs had a third copy.
All use `tests/child`, with the same limits and checks.
- Free ports of a gateway were chosen in three places: `config::free_ports` of the platform's stand-ins, with the counter that keeps tests of one process apart.
- `explain` parsed times with a calendar of its own; the crate `time`, which the logs already use, does it.

Ruled out: one start for all gateways of tests; one logs to a file, one to a pipe, one runs in the test's process.

--- a/rhubarbrock-cli/src/explain.rs
+++ b/rhubarbrock-cli/src/explain.rs
@@ -5,6 +5,8 @@
 
 use argh::FromArgs;
 use serde_json::{Map, Value};
+use time::OffsetDateTime;
+use time::format_description::well_known::Rfc3339;
 
 use crate::exit::{self, Exit};
 
@@ -184,28 +186,8 @@
     values[values.len() / 2]
 }
 
-/// Microseconds since the Unix epoch of a time in RFC 3339, in UTC.
+/// Microseconds since the Unix epoch of a time in RFC 3339.
 fn microseconds(text: &str) -> Option<i64> {
-    let (date, time) = text.strip_suffix('Z')?.split_once('T')?;
-    let mut date = date.splitn(3, '-').map(|part| part.parse::<i64>().ok());
-    let (year, month, day) = (date.next()??, date.next()??, date.next()??);
-    let mut time = time.splitn(3, ':');
-    let hours: i64 = time.next()?.parse().ok()?;
-    let minutes: i64 = time.next()?.parse().ok()?;
-    let seconds: f64 = time.next()?.parse().ok()?;
-    if !(1..=12).contains(&month) || !(1..=31).contains(&day) {
-        return None;
-    }
-    let minutes = (days_since_epoch(year, month, day) * 24 + hours) * 60 + minutes;
-    Some(minutes * 60_000_000 + (seconds * 1e6).round() as i64)
-}
-
-/// Days since 1970-01-01 in the Gregorian calendar; years are counted from March on.
-fn days_since_epoch(year: i64, month: i64, day: i64) -> i64 {
-    let year = if month <= 2 { year - 1 } else { year };
-    let era = year.div_euclid(400);
-    let year_of_era = year.rem_euclid(400);
-    let day_of_year = (153 * ((month + 9) % 12) + 2) / 5 + day - 1;
-    let day_of_era = year_of_era * 365 + year_of_era / 4 - year_of_era / 100 + day_of_year;
-    era * 146_097 + day_of_era - 719_468
+    let time = OffsetDateTime::parse(text, &Rfc3339).ok()?;
+    i64::try_from(time.unix_timestamp_nanos() / 1_000).ok()
 }
--- a/rhubarbrockd/tests/gateway_logs.rs
+++ b/rhubarbrockd/tests/gateway_logs.rs
@@ -1,14 +1,17 @@
 //! Logs of a gateway as a process.
 
+mod child;
+
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::Read as _;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use child::Child;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -42,9 +45,7 @@
         store.write_replica(&replica.id, &replica.entry("desk", "ready", 1));
         store.write_config(&config::config(1));
         let ip = Ipv4Addr::new(127, 90, (std::process::id() % 250) as u8, host).into();
-        let is_free = |port: u16| TcpListener::bind((ip, port)).is_ok();
-        let mut ports = (13_000..20_000).step_by(4);
-        let port = ports.find(|&port| (port..port + 4).all(is_free)).expect("a free port");
+        let port = config::free_ports(ip);
         let name = format!("g{host}");
         let node = config::Node { name, ip, port, store: store.start().await, bound_ms: 2_000 };
         let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{host}.settings"));
@@ -56,7 +57,7 @@
             .spawn()
             .expect("rhubarbrockd starts");
         let callers = SocketAddr::new(ip, port);
-        let mut gateway = Gateway { child, callers, replica, sender: None };
+        let mut gateway = Gateway { child: Child(child), callers, replica, sender: None };
         let started = Instant::now();
         while gateway.ask("start", KEY).await != Some(StatusCode::OK) {
             assert!(started.elapsed() < LIMIT, "the gateway does not serve");
@@ -88,13 +89,6 @@
     }
 }
 
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 #[tokio::test]
 async fn a_reader_that_blocks_slows_no_request_and_hears_what_was_dropped() {
     let mut gateway = Gateway::start(1, Stdio::piped()).await;
@@ -110,7 +104,7 @@
         slowest = slowest.max(asked_at.elapsed());
     }
     assert!(slowest < PROMPT, "{slowest:?} while nobody reads the log");
-    let mut pipe = gateway.child.stdout.take().unwrap();
+    let mut pipe = gateway.child.0.stdout.take().unwrap();
     let reader = std::thread::spawn(move || {
         let mut text = Vec::new();
         let _ = pipe.read_to_end(&mut text);
--- a/rhubarbrockd/tests/path/mod.rs
+++ b/rhubarbrockd/tests/path/mod.rs
@@ -6,7 +6,7 @@
 pub(crate) mod calls;
 
 use std::net::{SocketAddr, TcpListener as StdListener, UdpSocket};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -28,6 +28,8 @@
 
 use calls::call;
 
+use crate::child::Child;
+
 /// The example note of the gourd cooperative.
 const NOTE: &str = include_str!("../../../examples/gourd.release.toml");
 
@@ -55,9 +57,9 @@
 
 static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
 
-/// One node's process; it is killed when dropped.
+/// One node's process.
 pub(crate) struct Node {
-    child: Child,
+    pub(crate) child: Child,
     pub(crate) caller: SocketAddr,
 }
 
@@ -115,13 +117,13 @@
             .stdout(Stdio::null())
             .spawn()
             .expect("rhubarbrockd starts");
-        Node { child, caller }
+        Node { child: Child(child), caller }
     }
 
     /// Kills the node at `index` and starts it again with the same addresses.
     pub(crate) fn restart_node(&mut self, index: usize) {
         let caller = self.nodes[index].caller;
-        self.nodes[index].kill();
+        self.nodes[index].child.kill();
         let node = self.start_node(index, caller);
         self.nodes[index] = node;
     }
@@ -196,36 +198,6 @@
 }
 
 impl Node {
-    /// SIGKILL, and waits for the end.
-    pub(crate) fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Sends a signal by name, such as `STOP`.
-    pub(crate) fn signal(&self, name: &str) {
-        let command = format!("kill -{name} {}", self.child.id());
-        let status = Command::new("sh").args(["-c", &command]).status();
-        assert!(status.expect("sh is there").success(), "{command}");
-    }
-
-    /// Whether the process has ended, and how.
-    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
-        self.child.try_wait().expect("a child can be asked")
-    }
-
-    /// Waits until the process has ended by itself.
-    pub(crate) async fn wait_for_end(&mut self) -> ExitStatus {
-        let started = Instant::now();
-        loop {
-            if let Some(status) = self.ended() {
-                return status;
-            }
-            assert!(started.elapsed() < LIMIT, "node does not end");
-            tokio::time::sleep(POLL).await;
-        }
-    }
-
     /// Waits until the node says that it takes requests.
     pub(crate) async fn wait_until_ready(&self) {
         wait_until("the node is ready", async || {
@@ -236,12 +208,6 @@
     }
 }
 
-impl Drop for Node {
-    fn drop(&mut self) {
-        self.kill();
-    }
-}
-
 /// Waits until `is_so` holds; fails after the limit.
 pub(crate) async fn wait_until(what: &str, is_so: impl AsyncFn() -> bool) {
     let started = Instant::now();
--- a/rhubarbrockd/tests/process.rs
+++ b/rhubarbrockd/tests/process.rs
@@ -1,6 +1,7 @@
 //! What must always hold, with real processes that are killed, paused, told to end, and cut off
 //! from the platform. Bounds of time are the stated ones or only end hangs.
 
+mod child;
 mod path;
 
 use std::collections::BTreeMap;
@@ -120,7 +121,7 @@
     for stream in &mut streams {
         assert!(stream.read(80).await);
     }
-    path.nodes[0].kill();
+    path.nodes[0].child.kill();
     for (stream, guide) in streams.into_iter().zip(&guides) {
         let received = stream.read_to_end().await;
         assert!(!received.is_complete, "the stream is cut");
@@ -138,7 +139,7 @@
     call(path.platform, "POST", "/reclaim", &[], &reclaim).await.unwrap();
     // The platform ends the node with its notice, whatever it is doing.
     tokio::time::sleep(Duration::from_millis(3_000)).await;
-    path.nodes[0].kill();
+    path.nodes[0].child.kill();
     for (stream, guide) in streams.into_iter().zip(&guides) {
         let received = stream.read_to_end().await;
         let received = follow(&path, &[2, 1], received).await;
@@ -156,7 +157,7 @@
         let reclaim = json!({ "data_centre": data_centre, "notice_ms": 2_000 });
         call(path.platform, "POST", "/reclaim", &[], &reclaim).await.unwrap();
         tokio::time::sleep(Duration::from_millis(2_000)).await;
-        path.nodes[node].kill();
+        path.nodes[node].child.kill();
         if let Some(stream) = streams.pop() {
             received = stream.read_to_end().await;
         }
@@ -202,7 +203,7 @@
         .map(|index| tokio::spawn(async move { calls::order(node, &format!("o{index}")).await }))
         .collect();
     tokio::time::sleep(Duration::from_millis(700)).await;
-    path.nodes[0].signal("TERM");
+    path.nodes[0].child.signal("TERM");
     for (stream, guide) in streams.into_iter().zip(&guides) {
         let received = stream.read_to_end().await;
         assert!(received.is_complete, "a stream was cut after {} bytes", received.text.len());
@@ -212,7 +213,8 @@
         let reply = order.await.unwrap().expect("an order's answer was cut");
         assert_eq!((reply.status.as_u16(), reply.outcome()), (200, "answered"));
     }
-    assert!(path.nodes[0].wait_for_end().await.success());
+    let status = path.nodes[0].child.wait_for_end(path::LIMIT).await;
+    assert!(status.expect("the node ends").success());
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -246,7 +248,7 @@
         calling.push((key, tokio::spawn(async move { calls::order(node, key).await })));
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
     }
-    path.nodes[0].kill();
+    path.nodes[0].child.kill();
     let mut retries = Vec::new();
     let other = path.nodes[1].caller;
     for (key, call) in calling {
@@ -271,9 +273,9 @@
         let called = key.clone();
         let calling = tokio::spawn(async move { calls::order(node, &called).await });
         tokio::time::sleep(Duration::from_millis(wait_ms)).await;
-        path.nodes[0].signal("STOP");
+        path.nodes[0].child.signal("STOP");
         let other = calls::order(path.nodes[1].caller, &key).await;
-        path.nodes[0].signal("CONT");
+        path.nodes[0].child.signal("CONT");
         tell(&mut told, &key, calling.await.unwrap());
         tell(&mut told, &key, other);
     }
--- a/rhubarbrockd/tests/soak/faults.rs
+++ b/rhubarbrockd/tests/soak/faults.rs
@@ -133,7 +133,7 @@
 async fn kill(world: &World, gateway: usize, lasts: Duration) {
     let mut process = world.gateways[gateway].lock().await;
     let disturbance = world.disturb(Place::Gateway(gateway));
-    process.kill();
+    process.child.kill();
     time::sleep(lasts).await;
     process.restart();
     world.end(disturbance);
@@ -142,10 +142,10 @@
 async fn terminate(world: &World, gateway: usize) {
     let mut process = world.gateways[gateway].lock().await;
     let leaving = world.disturb(Place::Leaving(gateway));
-    process.signal("TERM");
-    if process.wait_for_end(GRACE).await.is_none() {
+    process.child.signal("TERM");
+    if process.child.wait_for_end(GRACE).await.is_none() {
         world.broken(format!("gateway {gateway} outlives its grace time"));
-        process.kill();
+        process.child.kill();
     }
     process.restart();
     world.end(leaving);
@@ -154,8 +154,8 @@
 async fn pause(world: &World, gateway: usize, lasts: Duration) {
     let process = world.gateways[gateway].lock().await;
     let disturbance = world.disturb(Place::Gateway(gateway));
-    process.signal("STOP");
+    process.child.signal("STOP");
     time::sleep(lasts).await;
-    process.signal("CONT");
+    process.child.signal("CONT");
     world.end(disturbance);
 }
--- a/rhubarbrockd/tests/soak/gateway.rs
+++ b/rhubarbrockd/tests/soak/gateway.rs
@@ -3,13 +3,11 @@
 use std::fs::{self, File};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus, Stdio};
-use std::time::{Duration, Instant};
+use std::process::{Command, Stdio};
 
 use platform_standins::config;
-use tokio::time;
 
-const POLL: Duration = Duration::from_millis(20);
+use crate::child::Child;
 
 /// Environment variable that names the settings file.
 const SETTINGS_VARIABLE: &str = "RHUBARBROCK_NODE_FILE";
@@ -17,7 +15,7 @@
 pub(crate) struct Gateway {
     pub(crate) callers: SocketAddr,
     pub(crate) readiness: SocketAddr,
-    child: Child,
+    pub(crate) child: Child,
     settings: PathBuf,
     log: PathBuf,
     starts: u32,
@@ -44,49 +42,14 @@
         self.child = spawn(&self.settings, &self.log, self.starts);
         self.starts += 1;
     }
-
-    pub(crate) fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-
-    /// Sends a signal by name, such as `STOP`.
-    pub(crate) fn signal(&self, name: &str) {
-        let command = format!("kill -{name} {}", self.child.id());
-        let status = Command::new("sh").args(["-c", &command]).status();
-        assert!(status.expect("sh is there").success(), "{command}");
-    }
-
-    /// How the process ended, if it did.
-    pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
-        self.child.try_wait().expect("a child can be asked")
-    }
-
-    /// Waits until the process has ended by itself.
-    pub(crate) async fn wait_for_end(&mut self, limit: Duration) -> Option<ExitStatus> {
-        let started = Instant::now();
-        while started.elapsed() < limit {
-            if let Some(status) = self.ended() {
-                return Some(status);
-            }
-            time::sleep(POLL).await;
-        }
-        None
-    }
-}
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        self.kill();
-    }
 }
 
 fn spawn(settings: &PathBuf, log: &std::path::Path, start: u32) -> Child {
     let log = File::create(log.with_extension(format!("{start}.log"))).unwrap();
-    Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
+    let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
         .arg("gateway")
         .env(SETTINGS_VARIABLE, settings)
         .stdout(Stdio::from(log))
-        .spawn()
-        .expect("rhubarbrockd starts")
+        .spawn();
+    Child(child.expect("rhubarbrockd starts"))
 }
--- a/rhubarbrockd/tests/soak/main.rs
+++ b/rhubarbrockd/tests/soak/main.rs
@@ -6,6 +6,8 @@
 
 mod callers;
 mod checks;
+#[path = "../child/mod.rs"]
+mod child;
 mod faults;
 mod gateway;
 mod proxy;
--- a/rhubarbrockd/tests/soak/world.rs
+++ b/rhubarbrockd/tests/soak/world.rs
@@ -1,6 +1,6 @@
 //! Gateways, replicas, store and callers of one seed.
 
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -135,7 +135,7 @@
     time::sleep(RECOVERY).await;
     tasks.shutdown().await;
     for (index, gateway) in world.gateways.iter().enumerate() {
-        if let Some(status) = gateway.lock().await.ended() {
+        if let Some(status) = gateway.lock().await.child.ended() {
             world.broken(format!("gateway {index} ended by itself: {status}"));
         }
     }
@@ -189,7 +189,7 @@
             let node = config::Node {
                 name: format!("g{index}"),
                 ip,
-                port: free_port(ip),
+                port: config::free_ports(ip),
                 store: link.address,
                 bound_ms: BOUND.as_millis() as u64,
             };
@@ -267,9 +267,3 @@
     config["tenants"][0]["api_keys"] = json!(keys);
     config
 }
-
-/// First of four ports that nobody uses at `ip`.
-fn free_port(ip: IpAddr) -> u16 {
-    let is_free = |port: u16| TcpListener::bind((ip, port)).is_ok();
-    (13_000..20_000).step_by(4).find(|&port| (port..port + 4).all(is_free)).expect("a free port")
-}
