Keep endpoints of a handover while their entries may lapse

Cause: a gateway that starts during an outage of the store learns the endpoints from another gateway.

Change: endpoints that are known from other gateways only and that the first listing lacks count as lapsed, not as gone. An endpoint handed over after this gateway's own listing is kept only if the store confirms it, as the other gateway may be behind.

A failed resume in the daemon's process tests now prints what each node knows of the request.

--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -149,6 +149,8 @@
     departures: BTreeMap<EndpointId, Departure>,
     store_available_at: Option<Duration>,
     is_store_unavailable: bool,
+    /// Whether a complete list of entries was read from the store.
+    is_listed: bool,
 }
 
 impl EndpointTable {
@@ -203,8 +205,33 @@
         self.record_departure(now, id, process_start_ms, Change::Gone)
     }
 
+    /// Applies an entry that another gateway reported when the endpoint joined.
+    pub fn on_reported_entry(&mut self, now: Duration, entry: Entry) -> Change {
+        // An entry that lapsed in an outage may be missing from the first list.
+        self.is_store_unavailable |= !self.is_listed;
+        self.on_entry(now, entry)
+    }
+
+    /// Applies an entry that another gateway handed over, because the store does not answer.
+    ///
+    /// After this gateway has listed the entries itself, a new endpoint is used for a limited time
+    /// only, unless the store confirms it: the other gateway may know it from before it left.
+    pub fn on_handover_entry(&mut self, now: Duration, entry: Entry) -> Change {
+        let id = entry.id.clone();
+        let change = self.on_reported_entry(now, entry);
+        if self.is_listed
+            && change == Change::Joined
+            && let Some(endpoint) = self.endpoints.get_mut(&id)
+        {
+            endpoint.lapses_at = Some(now + RENEWAL_AFTER_OUTAGE);
+        }
+        change
+    }
+
     /// Applies a complete list of entries; missing entries count as removed.
     pub fn on_snapshot(&mut self, now: Duration, entries: Vec<Entry>) -> Vec<(EndpointId, Change)> {
+        self.is_listed = true;
+        self.on_store_available(now);
         let present: Vec<EndpointId> = entries.iter().map(|entry| entry.id.clone()).collect();
         let mut changes: Vec<(EndpointId, Change)> = Vec::new();
         for entry in entries {
--- a/forwarding/tests/endpoints.rs
+++ b/forwarding/tests/endpoints.rs
@@ -64,6 +64,59 @@
     assert_eq!(changes, [("b".to_owned(), Change::Joined), ("a".to_owned(), Change::Gone)]);
 }
 
+/// An instance starts during an outage of the store, takes the endpoints from another gateway, and
+/// reads a first listing from which entries lapsed. Their endpoints live and renew them soon.
+#[test]
+fn keeps_endpoints_from_handover_that_lapsed_before_first_snapshot() {
+    let mut table = EndpointTable::default();
+    let handover = ["a", "b", "c"].map(|id| entry(id, MODEL_SERVICE, 5, 1));
+    for entry in handover {
+        assert_eq!(table.on_handover_entry(ms(0), entry), Change::Joined);
+    }
+    let changes = table.on_snapshot(ms(1_800), vec![entry("a", MODEL_SERVICE, 5, 2)]);
+    let lapsed = ["b", "c"].map(|id| (id.to_owned(), Change::Lapsed));
+    assert_eq!(changes, lapsed);
+    assert!(table.recent_departures(ms(1_800), Duration::from_secs(1)).is_empty());
+    assert!(table.is_waiting_for_renewals());
+    table.on_entry(ms(3_000), entry("b", MODEL_SERVICE, 5, 2));
+    assert!(table.tick(ms(4_000)).is_empty());
+    assert_eq!(table.tick(ms(4_200)), ["c"]);
+    assert_eq!(table.iter().map(|each| each.entry.id.as_str()).collect::<Vec<_>>(), ["a", "b"]);
+}
+
+#[test]
+fn keeps_reported_endpoint_that_lapsed_before_first_snapshot() {
+    let mut table = EndpointTable::default();
+    assert_eq!(table.on_reported_entry(ms(0), entry("a", MODEL_SERVICE, 5, 1)), Change::Joined);
+    let changes = table.on_snapshot(ms(500), Vec::new());
+    assert_eq!(changes, [("a".to_owned(), Change::Lapsed)]);
+    table.on_reported_entry(ms(5_000), entry("b", MODEL_SERVICE, 5, 1));
+    assert_eq!(table.on_removed(ms(5_100), "b"), Change::Gone);
+}
+
+#[test]
+fn removes_endpoints_missing_from_second_snapshot_after_handover() {
+    let mut table = EndpointTable::default();
+    table.on_handover_entry(ms(0), entry("a", MODEL_SERVICE, 5, 1));
+    table.on_snapshot(ms(100), vec![entry("a", MODEL_SERVICE, 5, 2)]);
+    assert_eq!(table.on_snapshot(ms(3_000), Vec::new()), [("a".to_owned(), Change::Gone)]);
+}
+
+/// A gateway that hands over may be behind the store: after this gateway's own listing, only the
+/// store can confirm an endpoint that was missing there.
+#[test]
+fn drops_handed_over_endpoint_that_store_does_not_confirm() {
+    let mut table = EndpointTable::default();
+    table.on_snapshot(ms(0), vec![entry("a", MODEL_SERVICE, 5, 1)]);
+    table.on_handover_entry(ms(100), entry("a", MODEL_SERVICE, 5, 1));
+    table.on_handover_entry(ms(100), entry("left", MODEL_SERVICE, 5, 1));
+    table.on_handover_entry(ms(100), entry("renewed", MODEL_SERVICE, 5, 1));
+    assert!(table.is_waiting_for_renewals());
+    table.on_entry(ms(1_500), entry("renewed", MODEL_SERVICE, 5, 2));
+    assert_eq!(table.tick(ms(2_500)), ["left"]);
+    assert!(table.get("a").is_some() && table.get("renewed").is_some());
+}
+
 #[test]
 fn applies_reported_departure_to_that_process_only() {
     let mut table = EndpointTable::default();
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use forwarding::dispatcher::Dispatcher;
-use forwarding::endpoints::{Change, Endpoint, Entry};
+use forwarding::endpoints::{Change, Endpoint, EndpointTable, Entry};
 use platform::store::{self, StoreClient};
 use prost::Message;
 use rhubarbrock_schema::gossip;
@@ -121,7 +121,7 @@
     dispatcher.peers.on_report(now, unix_time, from, report);
     drop(dispatcher);
     for row in &joined {
-        apply_joined(context, row, &name);
+        apply_joined(context, row, &name, EndpointTable::on_reported_entry);
     }
     for id in departed {
         info!(context.logger, "endpoint leaving according to another gateway";
@@ -129,14 +129,20 @@
     }
 }
 
-/// Adds an endpoint that another gateway reported. `source` is the name or address of that gateway.
-pub(crate) fn apply_joined(context: &Context, row: &gossip::Joined, source: &str) {
+/// Adds an endpoint that another gateway reported; `apply` adds the entry to the table. `source` is
+/// the name or address of that gateway.
+pub(crate) fn apply_joined(
+    context: &Context,
+    row: &gossip::Joined,
+    source: &str,
+    apply: impl FnOnce(&mut EndpointTable, Duration, Entry) -> Change,
+) {
     let Some(entry) = decode_joined(row) else {
         warn!(context.logger, "invalid endpoint address in report"; "endpoint" => &row.endpoint,
             "source" => source, "address" => &row.address);
         return;
     };
-    if context.dispatcher().endpoints.on_entry(context.now(), entry) == Change::Joined {
+    if apply(&mut context.dispatcher().endpoints, context.now(), entry) == Change::Joined {
         info!(context.logger, "endpoint joined according to another gateway";
             "endpoint" => &row.endpoint, "source" => source);
     }
--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use forwarding::endpoints::EndpointTable;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -96,6 +97,7 @@
         store_watch::apply_release_record(context, &handover.release);
     }
     for row in &handover.endpoints {
-        gossip_reports::apply_joined(context, row, &source.to_string());
+        let source = source.to_string();
+        gossip_reports::apply_joined(context, row, &source, EndpointTable::on_handover_entry);
     }
 }
--- a/rhubarbrockd/tests/cluster/calls.rs
+++ b/rhubarbrockd/tests/cluster/calls.rs
@@ -1,6 +1,7 @@
 //! HTTP calls as callers make them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -12,6 +13,9 @@
 
 use super::TIMEOUT;
 
+/// Longest wait for a frame or a body when a failure is described.
+const DESCRIBE_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Header with the key of the example's first organisation.
 pub(crate) const KEY: (&str, &str) = ("authorization", "Bearer demo-key");
 /// Header with the key of the example's second organisation.
@@ -149,6 +153,38 @@
     Some(stream)
 }
 
+/// Describes what a node knows of a request: how many it holds and keeps copies of, how it answers
+/// an attach after the last received event, and where the stream goes on.
+pub(crate) async fn describe(node: SocketAddr, received: &Received) -> String {
+    let status = call(node, "GET", "/v1/status", &[], &Value::Null).await;
+    let Some(status) = status.map(|reply| reply.json()) else {
+        return format!("{node}: no answer");
+    };
+    let counts = ["name", "held", "kept", "waiting", "leaving", "peers_alive", "troubles"]
+        .map(|field| format!("{field}={}", status[field]));
+    let path = format!("/v1/requests/{}", received.request_id);
+    let headers =
+        [KEY, ("accept", "text/event-stream"), ("last-event-id", &*received.last_event_id)];
+    let offset = match open(node, "GET", &path, &headers, &Value::Null).await {
+        None => "no answer".to_owned(),
+        Some(response) if response.status() != StatusCode::OK => {
+            let status = response.status();
+            let body = response.into_body().collect();
+            let body = tokio::time::timeout(DESCRIBE_TIMEOUT, body).await.ok();
+            let body = body.and_then(|body| Some(body.ok()?.to_bytes()));
+            format!("refused with {status}: {:?}", body.unwrap_or_default())
+        }
+        Some(response) => match Stream::from_response(response) {
+            None => "answer without a request id".to_owned(),
+            Some(mut stream) => {
+                let frame = tokio::time::timeout(DESCRIBE_TIMEOUT, stream.read_frame()).await;
+                format!("first frame {frame:?}, then at event {}", stream.received.last_event_id)
+            }
+        },
+    };
+    format!("{}; attach: {offset}", counts.join(" "))
+}
+
 impl Stream {
     fn from_response(response: Response<Incoming>) -> Option<Stream> {
         if response.status() != StatusCode::OK {
--- a/rhubarbrockd/tests/process.rs
+++ b/rhubarbrockd/tests/process.rs
@@ -65,10 +65,13 @@
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
         tries += 1;
-        assert!(
-            started.elapsed() < cluster::TIMEOUT,
-            "not complete after {tries} tries: {received:?}"
-        );
+        if started.elapsed() >= cluster::TIMEOUT {
+            for &node in nodes {
+                let address = cluster.nodes[node].caller_address;
+                println!("{}", calls::describe(address, &received).await);
+            }
+            panic!("not complete after {tries} tries: {received:?}");
+        }
     }
     received
 }
