Plan replicas by learned prompt speed and by requests in progress

Cause: the planner took 30,000 prompt tokens a second for each replica of any service: too little where engines are fast (replicas are the largest price of all sites) and a service of slow engines or few slots would get too few.

Change: gateways report sums of prompt sizes and times to the first event at idle endpoints; the lease holder estimates the speed by regression and plans for it, and for the requests in progress against the slots. Reclaimable replicas go only when the plan is below them by a margin.

Tests: services of 5 to 500 tokens/ms, 1 to 64 slots, boot times up to 30 s, which fail with the fixed speed; a varying demand, which fails without the margin.

--- a/forwarding/src/arrivals.rs
+++ b/forwarding/src/arrivals.rs
@@ -3,9 +3,15 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::prompt_speed::PromptSamples;
+
 /// Smoothing window: shorter than a replica's start, longer than the bursts in which callers send.
 const SMOOTHING_WINDOW: Duration = Duration::from_secs(3);
 
+/// Time constant with which samples of the prompt speed lose weight. It is long enough for samples
+/// of all sizes at a gateway with few requests, and short enough to follow a new release.
+const PROMPT_SAMPLE_DECAY: Duration = Duration::from_secs(20);
+
 /// Work rates of one service.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct ArrivalRates {
@@ -15,6 +21,11 @@
     pub first_events_per_s: f64,
     /// First events per second that missed the latency target.
     pub late_first_events_per_s: f64,
+    /// Requests per second times the seconds for which each generates its answer: the mean number
+    /// of requests that generate at once.
+    pub generating_requests: f64,
+    /// Times to the first event at endpoints without queued prompts.
+    pub prompt_samples: PromptSamples,
 }
 
 impl ArrivalRates {
@@ -24,6 +35,8 @@
             tokens_per_s: self.tokens_per_s + other.tokens_per_s,
             first_events_per_s: self.first_events_per_s + other.first_events_per_s,
             late_first_events_per_s: self.late_first_events_per_s + other.late_first_events_per_s,
+            generating_requests: self.generating_requests + other.generating_requests,
+            prompt_samples: self.prompt_samples.plus(other.prompt_samples),
         }
     }
 
@@ -41,6 +54,9 @@
         self.tokens_per_s *= factor;
         self.first_events_per_s *= factor;
         self.late_first_events_per_s *= factor;
+        self.generating_requests *= factor;
+        let elapsed_shares = elapsed.as_secs_f64() / PROMPT_SAMPLE_DECAY.as_secs_f64();
+        self.prompt_samples.scale((-elapsed_shares).exp());
     }
 }
 
@@ -65,6 +81,23 @@
         }
     }
 
+    /// Counts the time to the first event of a request to an endpoint without queued prompts.
+    pub fn on_prompt_processed(
+        &mut self,
+        now: Duration,
+        service: &str,
+        tokens: u64,
+        latency: Duration,
+    ) {
+        self.rates_mut(now, service).prompt_samples.add(tokens, latency);
+    }
+
+    /// Counts the time from a stream's first event to its end.
+    pub fn on_generated(&mut self, now: Duration, service: &str, elapsed: Duration) {
+        self.rates_mut(now, service).generating_requests +=
+            elapsed.as_secs_f64() / SMOOTHING_WINDOW.as_secs_f64();
+    }
+
     /// Rates of one service, decayed to `now`.
     pub fn rates(&self, now: Duration, service: &str) -> ArrivalRates {
         let Some(&(at, mut rates)) = self.services.get(service) else {
--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -146,6 +146,10 @@
     pub possible_runs: u32,
     quota_units: f64,
     is_usage_counted: bool,
+    /// Time of sending to an endpoint without queued prompts, until the first event.
+    sent_to_idle_at: Option<Duration>,
+    /// Time of the first event of the attempt in progress.
+    first_event_at: Option<Duration>,
 }
 
 impl AdmittedRequest {
@@ -312,6 +316,8 @@
             possible_runs: 0,
             quota_units,
             is_usage_counted: false,
+            sent_to_idle_at: None,
+            first_event_at: None,
         })
     }
 
@@ -334,6 +340,7 @@
         };
         let endpoint =
             selection::select(&self.endpoints, now, &criteria).ok_or(RefusalReason::NoEndpoint)?;
+        let is_idle = endpoint.waiting_tokens() == 0 && !endpoint.is_warming_up(now);
         let target = Target {
             id: endpoint.entry.id.clone(),
             address: endpoint.entry.address,
@@ -348,6 +355,8 @@
             }
         }
         self.endpoints.on_sent(now, &target.id, admitted.waiting_tokens());
+        admitted.sent_to_idle_at = is_idle.then_some(now);
+        admitted.first_event_at = None;
         admitted.tried.push(target.id.clone());
         Ok(target)
     }
@@ -362,11 +371,16 @@
         target: &Target,
     ) {
         self.endpoints.on_first_event(&target.id, admitted.waiting_tokens());
+        admitted.first_event_at = Some(now);
         if admitted.is_usage_counted {
             return;
         }
         admitted.is_usage_counted = true;
-        if admitted.prompt.is_some() {
+        if let Some(prompt) = &admitted.prompt {
+            if let Some(sent_at) = admitted.sent_to_idle_at {
+                let (tokens, latency) = (prompt.unshared_tokens(), now.saturating_sub(sent_at));
+                self.arrival_meter.on_prompt_processed(now, &admitted.service, tokens, latency);
+            }
             let is_late = now > admitted.arrived_at + admitted.latency_target;
             self.arrival_meter.on_first_event(now, &admitted.service, is_late);
         }
@@ -385,6 +399,7 @@
         admitted: &AdmittedRequest,
         target: &Target,
     ) -> bool {
+        self.record_generation(now, admitted);
         self.endpoints.on_ended(&target.id);
         self.suspects.on_finished(now, admitted.fingerprint);
         self.endpoints.on_success(&target.id)
@@ -402,6 +417,7 @@
         if !had_first_event {
             self.endpoints.on_first_event(&target.id, admitted.waiting_tokens());
         }
+        self.record_generation(now, admitted);
         self.endpoints.on_ended(&target.id);
         if outcome.may_have_run() {
             admitted.possible_runs += 1;
@@ -429,6 +445,7 @@
     /// Records that the caller disconnected during an attempt.
     pub fn on_abandoned(
         &mut self,
+        now: Duration,
         admitted: &AdmittedRequest,
         target: &Target,
         had_first_event: bool,
@@ -436,10 +453,18 @@
         if !had_first_event {
             self.endpoints.on_first_event(&target.id, admitted.waiting_tokens());
         }
+        self.record_generation(now, admitted);
         self.endpoints.on_ended(&target.id);
         self.endpoints.on_inconclusive(&target.id);
     }
 
+    fn record_generation(&mut self, now: Duration, admitted: &AdmittedRequest) {
+        if let (Some(_), Some(started_at)) = (&admitted.prompt, admitted.first_event_at) {
+            let elapsed = now.saturating_sub(started_at);
+            self.arrival_meter.on_generated(now, &admitted.service, elapsed);
+        }
+    }
+
     /// Refunds the quota of a request that ended without having run.
     pub fn on_not_run(&mut self, admitted: &AdmittedRequest) {
         if let Some(organisation) = &admitted.organisation {
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod event_stream;
 pub mod lease;
 pub mod peers;
+pub mod prompt_speed;
 pub mod quota;
 pub mod release;
 pub mod request;
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -9,6 +9,7 @@
 
 use crate::arrivals::ArrivalRates;
 use crate::endpoints::{EndpointId, Load};
+use crate::prompt_speed::PromptSamples;
 use crate::quota::PeerDemand;
 use crate::suspects::{Fingerprint, RequestHistory};
 use crate::usage::Source;
@@ -207,6 +208,10 @@
             sum.tokens_per_s += row.tokens_per_s as f64;
             sum.first_events_per_s += row.first_events_milli_per_s as f64 / 1_000.0;
             sum.late_first_events_per_s += row.late_milli_per_s as f64 / 1_000.0;
+            sum.generating_requests += row.generating_milli as f64 / 1_000.0;
+            if let Some(samples) = &row.prompt_samples {
+                sum.prompt_samples = sum.prompt_samples.plus(decode_samples(samples));
+            }
         }
         sum
     }
@@ -255,3 +260,14 @@
         self.peers.values().filter(move |peer| now < peer.heard_at + LIVENESS_TIMEOUT)
     }
 }
+
+fn decode_samples(samples: &gossip::PromptSamples) -> PromptSamples {
+    PromptSamples {
+        count: samples.count,
+        tokens: samples.tokens,
+        latency_s: samples.latency_s,
+        squared_tokens: samples.squared_tokens,
+        squared_latency_s2: samples.squared_latency_s2,
+        tokens_latency_s: samples.tokens_latency_s,
+    }
+}
--- a/forwarding/src/scaling.rs
+++ b/forwarding/src/scaling.rs
@@ -15,9 +15,21 @@
 use crate::endpoints::Endpoint;
 use crate::release::ScalingPolicy;
 
-/// Prompt tokens per second planned for one replica: a third of what such engines process, as
-/// shared parts are recomputed after a loss and decoding runs beside prompt processing.
-const TOKENS_PER_S_PER_REPLICA: f64 = 30_000.0;
+/// Prompt tokens per second that one replica is assumed to process until its speed is known.
+const DEFAULT_TOKENS_PER_S: f64 = 40_000.0;
+
+/// Fraction of a replica's prompt speed that is planned for, as shared parts are recomputed after a
+/// loss, decoding runs beside prompt processing, and queues grow beyond the latency target near full
+/// load.
+const PROMPT_UTILISATION: f64 = 0.75;
+
+/// Fraction of a replica's concurrent requests that is planned for, as demand is uneven over the
+/// replicas and a request at a full replica waits for another one to finish.
+const SLOT_UTILISATION: f64 = 0.7;
+
+/// Replicas that the plan may exceed the needed ones by, as a factor, before reclaimable ones are
+/// released: a released replica loses its cache, and the demand varies from second to second.
+const SHRINK_MARGIN: f64 = 1.2;
 
 /// Time constant with which a demand peak decays. Ordering a released replica again costs its boot
 /// time, and it starts with an empty cache.
@@ -42,9 +54,9 @@
 /// heartbeats.
 const STARTUP_QUIET_TIME: Duration = Duration::from_millis(3_600);
 
-/// Average of waiting prompt tokens per replica above which more replicas help; a replica processes
-/// this many in about 50 ms. With fewer, late first events have other causes.
-const BACKLOG_TOKENS_PER_REPLICA: u64 = 4_000;
+/// Average time to process the waiting prompts of a replica above which more replicas help. With
+/// less, late first events have other causes.
+const BACKLOG_TIME: Duration = Duration::from_millis(50);
 
 /// Factor per step by which the plan grows while first events are late.
 const GROWTH_STEP_FACTOR: f64 = 1.25;
@@ -118,7 +130,10 @@
 #[derive(Debug, Clone, Copy)]
 struct ServiceDemand {
     updated_at: Duration,
-    peak_tokens_per_s: f64,
+    /// Last known prompt speed of a replica.
+    tokens_per_s_per_replica: f64,
+    /// Peak of the replicas that the demand takes.
+    peak_replicas: f64,
     growth_factor: f64,
     growth_changed_at: Duration,
     first_request_at: Option<Duration>,
@@ -202,6 +217,12 @@
         }
     }
 
+    /// Prompt tokens per second that a replica of the service is planned to process; `None` before the
+    /// first plan.
+    pub fn tokens_per_s_per_replica(&self, service: &str) -> Option<f64> {
+        self.demands.get(service).map(|demand| demand.tokens_per_s_per_replica)
+    }
+
     /// Forgets all orders, as another lease holder may have placed others since.
     pub fn clear_orders(&mut self) {
         self.ordered.clear();
@@ -212,19 +233,16 @@
     fn needed(&mut self, now: Duration, input: &PlanInput<'_>) -> u32 {
         let demand = self.demands.entry(input.service.to_owned()).or_insert(ServiceDemand {
             updated_at: now,
-            peak_tokens_per_s: 0.0,
+            tokens_per_s_per_replica: DEFAULT_TOKENS_PER_S,
+            peak_replicas: 0.0,
             growth_factor: 1.0,
             growth_changed_at: now,
             first_request_at: None,
             initial_replicas: 0,
             initial_replicas_changed_at: now,
         });
-        let waiting_tokens: u64 =
-            input.endpoints.iter().map(|endpoint| endpoint.waiting_tokens()).sum();
-        let is_backlogged =
-            waiting_tokens > BACKLOG_TOKENS_PER_REPLICA * input.endpoints.len() as u64;
-        demand.update(now, &input.arrivals, is_backlogged);
-        let replicas = demand.peak_tokens_per_s / TOKENS_PER_S_PER_REPLICA * demand.growth_factor;
+        demand.update(now, input);
+        let replicas = demand.peak_replicas * demand.growth_factor;
         let needed = (replicas + SPARE_REPLICAS).ceil().max(2.0);
         if demand.is_demand_known(now) {
             return needed as u32;
@@ -249,16 +267,21 @@
         }
         // The replicas left after a reclaim in one data centre must suffice.
         let remaining = (scaling.prices.len() as u32 - 1).max(1);
-        let per_data_centre = needed.div_ceil(remaining).clamp(1, scaling.max_replicas);
+        let per_data_centre =
+            |needed: u32| needed.div_ceil(remaining).clamp(1, scaling.max_replicas);
+        let min_replicas = per_data_centre(needed);
+        let max_replicas = per_data_centre((f64::from(needed) * SHRINK_MARGIN).ceil() as u32);
         let present = count(input, true);
         let on_demand = count(input, false);
         let targets = scaling.prices.keys().map(|data_centre| {
             let group = group(input, data_centre, true);
             let is_paused = self.refused_until.get(&group).is_some_and(|&until| now < until);
+            let expected = self.expected_replicas(now, input, &present, data_centre, true);
+            let planned = expected.clamp(min_replicas, max_replicas);
             let present = present.get(data_centre).copied().unwrap_or_default();
             let on_demand_here = self.expected_replicas(now, input, &on_demand, data_centre, false);
             let headroom = scaling.max_replicas.saturating_sub(on_demand_here);
-            (data_centre.clone(), if is_paused { present } else { per_data_centre.min(headroom) })
+            (data_centre.clone(), if is_paused { present } else { planned.min(headroom) })
         });
         targets.collect()
     }
@@ -404,11 +427,15 @@
         self.first_request_at.is_some_and(|at| now >= at + KNOWN_DEMAND_DELAY)
     }
 
-    fn update(&mut self, now: Duration, arrivals: &ArrivalRates, is_backlogged: bool) {
+    fn update(&mut self, now: Duration, input: &PlanInput<'_>) {
+        let arrivals = &input.arrivals;
+        if let Some(tokens_per_s) = arrivals.prompt_samples.tokens_per_s() {
+            self.tokens_per_s_per_replica = tokens_per_s;
+        }
         let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
         self.updated_at = now;
-        let decayed = self.peak_tokens_per_s * (-elapsed / PEAK_DECAY.as_secs_f64()).exp();
-        self.peak_tokens_per_s = decayed.max(arrivals.tokens_per_s);
+        let decayed = self.peak_replicas * (-elapsed / PEAK_DECAY.as_secs_f64()).exp();
+        self.peak_replicas = decayed.max(self.busy_replicas(input));
         if arrivals.tokens_per_s > 0.0 {
             self.first_request_at.get_or_insert(now);
         }
@@ -416,6 +443,7 @@
             return;
         }
         let late_share = arrivals.late_share();
+        let is_backlogged = self.is_backlogged(input);
         if late_share > LATE_SHARE_HIGH && is_backlogged {
             self.growth_factor = (self.growth_factor * GROWTH_STEP_FACTOR).min(MAX_GROWTH_FACTOR);
             self.growth_changed_at = now;
@@ -424,6 +452,27 @@
             self.growth_changed_at = now;
         }
     }
+
+    /// Replicas that the arriving work takes at the planned utilisation: for its prompts, or for the
+    /// requests in progress.
+    fn busy_replicas(&self, input: &PlanInput<'_>) -> f64 {
+        let prompt_share = input.arrivals.tokens_per_s / self.tokens_per_s_per_replica;
+        let for_prompts = prompt_share / PROMPT_UTILISATION;
+        let capacity: u32 = input.endpoints.iter().map(|endpoint| endpoint.entry.capacity).sum();
+        if capacity == 0 {
+            return for_prompts;
+        }
+        let slots_per_replica = f64::from(capacity) / input.endpoints.len() as f64;
+        let requests = input.arrivals.generating_requests + prompt_share;
+        for_prompts.max(requests / slots_per_replica / SLOT_UTILISATION)
+    }
+
+    fn is_backlogged(&self, input: &PlanInput<'_>) -> bool {
+        let waiting_tokens: u64 =
+            input.endpoints.iter().map(|endpoint| endpoint.waiting_tokens()).sum();
+        let tokens_per_s = self.tokens_per_s_per_replica * input.endpoints.len() as f64;
+        waiting_tokens as f64 > tokens_per_s * BACKLOG_TIME.as_secs_f64()
+    }
 }
 
 fn count(input: &PlanInput<'_>, is_reclaimable: bool) -> ReplicaCounts {
--- a/forwarding/tests/scaling.rs
+++ b/forwarding/tests/scaling.rs
@@ -7,6 +7,7 @@
 
 use forwarding::arrivals::ArrivalRates;
 use forwarding::endpoints::EndpointTable;
+use forwarding::prompt_speed::PromptSamples;
 use forwarding::release::ScalingPolicy;
 use forwarding::scaling::{Order, OrderOutcome, PlanInput, Planner};
 use support::{MODEL_SERVICE, entry, ms};
@@ -27,7 +28,8 @@
     }
 }
 
-/// Platform that starts ordered replicas immediately.
+/// Platform that starts ordered replicas immediately, or with [`SimulatedPlatform::plan_and_boot`]
+/// after their boot time.
 struct SimulatedPlatform {
     table: EndpointTable,
     planner: Planner,
@@ -35,6 +37,9 @@
     counts: BTreeMap<(String, bool), u32>,
     refuses_reclaimable: bool,
     started: u32,
+    slots: u32,
+    /// Accepted orders whose replicas still boot.
+    booting: Vec<(Duration, Order)>,
 }
 
 impl SimulatedPlatform {
@@ -46,6 +51,8 @@
             counts: BTreeMap::new(),
             refuses_reclaimable: false,
             started: 0,
+            slots: 64,
+            booting: Vec::new(),
         };
         for data_centre in DATA_CENTRES {
             platform.set(ms(0), data_centre, false, on_demand);
@@ -70,15 +77,20 @@
             let mut entry = entry(&format!("i{}", self.started), MODEL_SERVICE, 1, 1);
             entry.data_centre = data_centre.to_owned();
             entry.is_reclaimable = is_reclaimable;
+            entry.capacity = self.slots;
             self.table.on_entry(now, entry);
         }
         self.counts.insert(key, replicas);
     }
 
     fn plan(&mut self, at_s: u64, tokens_per_s: f64) -> Vec<Order> {
-        let now = Duration::from_secs(at_s);
         let arrivals =
-            ArrivalRates { tokens_per_s, first_events_per_s: 10.0, late_first_events_per_s: 0.0 };
+            ArrivalRates { tokens_per_s, first_events_per_s: 10.0, ..ArrivalRates::default() };
+        self.plan_for(at_s, arrivals)
+    }
+
+    fn plan_for(&mut self, at_s: u64, arrivals: ArrivalRates) -> Vec<Order> {
+        let now = Duration::from_secs(at_s);
         let endpoints = self.table.of_service(MODEL_SERVICE).collect();
         let input =
             PlanInput { service: MODEL_SERVICE, scaling: &self.scaling, endpoints, arrivals };
@@ -95,6 +107,36 @@
         orders
     }
 
+    /// Like `plan_for`, but replicas that are added serve after the boot time only.
+    fn plan_and_boot(&mut self, at_s: u64, arrivals: ArrivalRates) -> Vec<Order> {
+        let now = Duration::from_secs(at_s);
+        let (started, booting) = std::mem::take(&mut self.booting)
+            .into_iter()
+            .partition(|(ready_at, _)| now >= *ready_at);
+        self.booting = booting;
+        let started: Vec<(Duration, Order)> = started;
+        for (_, order) in started {
+            let group = order.group;
+            self.set(now, &group.data_centre, group.is_reclaimable, order.replicas);
+        }
+        let endpoints = self.table.of_service(MODEL_SERVICE).collect();
+        let input =
+            PlanInput { service: MODEL_SERVICE, scaling: &self.scaling, endpoints, arrivals };
+        let orders = self.planner.plan(now, &input);
+        for order in &orders {
+            self.planner.on_order_outcome(now, order, OrderOutcome::Accepted);
+            let group = &order.group;
+            self.booting.retain(|(_, other)| other.group != *group);
+            let key = (group.data_centre.clone(), group.is_reclaimable);
+            if self.counts.get(&key).is_some_and(|&present| present > order.replicas) {
+                self.set(now, &group.data_centre, group.is_reclaimable, order.replicas);
+            } else {
+                self.booting.push((now + self.scaling.boot_time, order.clone()));
+            }
+        }
+        orders
+    }
+
     fn total(&self, is_reclaimable: bool) -> u32 {
         let rows = self.counts.iter().filter(|((_, each), _)| *each == is_reclaimable);
         rows.map(|(_, replicas)| replicas).sum()
@@ -206,3 +248,69 @@
         }
     }
 }
+
+/// Samples of a service whose replicas process `tokens_per_s`; every third one misses the cache.
+fn samples(tokens_per_s: f64) -> PromptSamples {
+    let mut samples = PromptSamples::default();
+    for index in 0..200 {
+        let tokens = 200 + index * 37 % 9_000;
+        let uncached = if index % 3 == 0 { 2_500.0 } else { 0.0 };
+        let latency_s = 0.02 + (tokens as f64 + uncached) / tokens_per_s;
+        samples.add(tokens, Duration::from_secs_f64(latency_s));
+    }
+    samples
+}
+
+/// Services of 5 to 500 prompt tokens per millisecond and 1 to 64 slots, with work for 1 to 400 busy
+/// replicas and boot times up to 30 s, get the replicas that their work takes and not many more.
+#[test]
+fn plans_for_speed_slots_and_boot_time_of_any_service() {
+    bolero::check!().with_type::<[u16; 5]>().with_iterations(60).for_each(|values| {
+        let pick = |index: usize, min: u64, max: u64| {
+            min + u64::from(values[index]) * (max - min) / u64::from(u16::MAX)
+        };
+        let tokens_per_s = pick(0, 5, 500) as f64 * 1_000.0;
+        let busy_replicas = pick(2, 1, 400) as f64;
+        let slot_share = pick(3, 0, 150) as f64 / 100.0;
+        let mut platform = SimulatedPlatform::new(1);
+        platform.slots = pick(1, 1, 64) as u32;
+        platform.scaling.max_replicas = 2_000;
+        platform.scaling.boot_time = Duration::from_secs(pick(4, 0, 30));
+        let generating_requests = busy_replicas * slot_share * f64::from(platform.slots);
+        let arrivals = ArrivalRates {
+            tokens_per_s: tokens_per_s * busy_replicas,
+            generating_requests,
+            first_events_per_s: 10.0,
+            prompt_samples: samples(tokens_per_s),
+            ..ArrivalRates::default()
+        };
+        let mut orders = 0;
+        for at_s in 0..150 {
+            orders += platform.plan_and_boot(at_s, arrivals).len();
+        }
+        let for_slots = slot_share * busy_replicas + busy_replicas / f64::from(platform.slots);
+        let work = busy_replicas.max(for_slots);
+        let reclaimable = platform.total(true);
+        let left = reclaimable - reclaimable.div_ceil(3) + platform.total(false);
+        assert!(f64::from(left) >= work, "{left} replicas for {work}: {:?}", platform.counts);
+        let total = reclaimable + platform.total(false);
+        assert!(f64::from(total) <= 10.0 + 4.0 * work, "{total} for {work}: {:?}", platform.counts);
+        assert!(orders <= 60, "{orders} orders");
+    });
+}
+
+/// The demand peaks every third second. A replica that is released and ordered again
+/// costs its boot time and its cache.
+#[test]
+fn keeps_replicas_while_demand_varies() {
+    let mut platform = SimulatedPlatform::new(3);
+    let mut changes = 0;
+    for at_s in 0..120 {
+        let tokens_per_s = if at_s % 3 == 0 { 91_000.0 } else { 60_000.0 };
+        let orders = platform.plan(at_s, tokens_per_s);
+        if at_s >= 40 {
+            changes += orders.len();
+        }
+    }
+    assert_eq!(changes, 0);
+}
--- a/gateway/src/duties.rs
+++ b/gateway/src/duties.rs
@@ -172,8 +172,10 @@
                 Ok(StatusCode::CONFLICT) => OrderOutcome::Refused,
                 Ok(_) | Err(_) => OrderOutcome::Unknown,
             };
+            let tokens_per_s = self.planner.tokens_per_s_per_replica(&order.group.service);
             info!(self.context.logger, "replicas ordered";
-                "service" => &order.group.service, "data_centre" => &order.group.data_centre,
+                "service" => &order.group.service,
+                "tokens_per_s_per_replica" => tokens_per_s.unwrap_or_default() as u64, "data_centre" => &order.group.data_centre,
                 "is_reclaimable" => order.group.is_reclaimable, "replicas" => order.replicas,
                 "epoch" => epoch, "answer" => ?result);
             self.planner.on_order_outcome(self.context.now(), &order, outcome);
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -75,7 +75,9 @@
     fn drop(&mut self) {
         let Some(current_attempt) = self.current_attempt.take() else { return };
         let had_first_event = current_attempt.first_event_at.is_some();
+        let now = self.context.now();
         self.context.dispatcher().on_abandoned(
+            now,
             &self.admitted,
             &current_attempt.target,
             had_first_event,
@@ -84,7 +86,7 @@
         info!(self.context.logger, "request abandoned by its caller";
             "request" => &self.admitted.attempt_id, "route" => &self.admitted.route,
             "endpoint" => current_attempt.target.id, "had_first_event" => had_first_event,
-            "age_ms" => logger::as_ms(self.context.now().saturating_sub(self.admitted.arrived_at)));
+            "age_ms" => logger::as_ms(now.saturating_sub(self.admitted.arrived_at)));
     }
 }
 
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -6,6 +6,7 @@
 
 use forwarding::dispatcher::Dispatcher;
 use forwarding::endpoints::{Change, Endpoint, EndpointTable, Entry};
+use forwarding::prompt_speed::PromptSamples;
 use platform::store::{self, StoreClient};
 use prost::Message;
 use rhubarbrock_schema::gossip;
@@ -299,11 +300,24 @@
             tokens_per_s: rates.tokens_per_s as u64,
             first_events_milli_per_s: (rates.first_events_per_s * 1_000.0) as u64,
             late_milli_per_s: (rates.late_first_events_per_s * 1_000.0) as u64,
+            generating_milli: (rates.generating_requests * 1_000.0) as u64,
+            prompt_samples: Some(encode_samples(rates.prompt_samples)),
         }
     });
     services.collect()
 }
 
+fn encode_samples(samples: PromptSamples) -> gossip::PromptSamples {
+    gossip::PromptSamples {
+        count: samples.count,
+        tokens: samples.tokens,
+        latency_s: samples.latency_s,
+        squared_tokens: samples.squared_tokens,
+        squared_latency_s2: samples.squared_latency_s2,
+        tokens_latency_s: samples.tokens_latency_s,
+    }
+}
+
 /// Registers this gateway in the store and lists the others from there, now and at an interval.
 pub(crate) async fn join(context: Context, own: SocketAddr) {
     let (address, name) = {
