Report by data centre, so that several hundred gateways know each other

Cause: every gateway reported to every other at 8 ms a gateway. Reports to all at once also overflowed the queues of links, so that whole data centres missed the readers' reports and began to read.

Change: reports state their interval, from which the receiver derives when the sender counts as gone. The interval depends on the receiver: own data centre, lease holder, other data centres. Readers and the lease holder also send brief reports. Datagrams are sent in batches; the gateways are listed anew more rarely in a large fleet; usage windows settle after three intervals.

Also: the plan counts the time until the first event as a slot in use, keeps slots free for the variation of requests in progress, and plans less of the prompt speed the older the reports are, as gateways that don't see each other's requests load replicas unevenly.

--- a/forwarding/src/arrivals.rs
+++ b/forwarding/src/arrivals.rs
@@ -49,6 +49,13 @@
         }
     }
 
+    /// Mean number of requests that take a slot of an endpoint: until the first event, without the
+    /// time in a queue, and while they generate.
+    pub fn requests_in_progress(&self) -> f64 {
+        let until_first_event_s = self.prompt_samples.mean_latency_s().unwrap_or_default();
+        self.generating_requests + self.first_events_per_s * until_first_event_s
+    }
+
     fn decay(&mut self, elapsed: Duration) {
         let factor = (-elapsed.as_secs_f64() / SMOOTHING_WINDOW.as_secs_f64()).exp();
         self.tokens_per_s *= factor;
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod prompt_speed;
 pub mod quota;
 pub mod release;
+pub mod report_schedule;
 pub mod request;
 pub mod retry_budget;
 pub mod scaling;
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -11,13 +11,10 @@
 use crate::endpoints::{EndpointId, Load};
 use crate::prompt_speed::PromptSamples;
 use crate::quota::PeerDemand;
+use crate::report_schedule::{self, Schedule};
 use crate::suspects::{Fingerprint, RequestHistory};
 use crate::usage::Source;
 
-/// Time without reports after which a gateway no longer counts as live; covers several lost
-/// reports.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Time without reports after which a gateway's share of quotas goes to the others. It exceeds a
 /// process restart and the window in which quotas are counted.
 const MEMBERSHIP_TIMEOUT: Duration = Duration::from_secs(12);
@@ -40,6 +37,11 @@
         self.report.reads_entries
     }
 
+    fn is_live(&self, now: Duration) -> bool {
+        let interval = Duration::from_millis(self.report.interval_ms.into());
+        now < self.heard_at + report_schedule::liveness_timeout(interval)
+    }
+
     /// Whether the store answered the gateway within the last `freshness`, judging by its last
     /// report.
     fn is_fresh(&self, now: Duration, freshness: Duration) -> bool {
@@ -48,13 +50,29 @@
     }
 }
 
+/// Address of a gateway.
+#[derive(Debug, Clone)]
+struct KnownAddress {
+    /// Time of the last report from there or of the discovery.
+    heard_at: Duration,
+    /// Data centre; `None` before the first report.
+    data_centre: Option<String>,
+}
+
+/// Addresses that reports are sent to.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Recipients {
+    /// In the own data centre, or in an unknown one.
+    pub near: Vec<SocketAddr>,
+    /// In other data centres.
+    pub far: Vec<SocketAddr>,
+}
+
 /// The other gateways.
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: BTreeMap<String, Peer>,
-    /// Addresses of known gateways, with the time of the last report from there or of the
-    /// discovery.
-    addresses: BTreeMap<SocketAddr, Duration>,
+    addresses: BTreeMap<SocketAddr, KnownAddress>,
     /// Quota units that the other gateways were seen to spend, by organisation.
     spent_units: HashMap<String, u64>,
 }
@@ -62,12 +80,27 @@
 impl Peers {
     /// Adds the address of a gateway found in the store.
     pub fn add_address(&mut self, now: Duration, address: SocketAddr) {
-        self.addresses.entry(address).or_insert(now);
+        let known = KnownAddress { heard_at: now, data_centre: None };
+        self.addresses.entry(address).or_insert(known);
     }
 
-    /// Addresses that reports are sent to.
-    pub fn addresses(&self) -> Vec<SocketAddr> {
-        self.addresses.keys().copied().collect()
+    /// Addresses that reports are sent to by a gateway in `data_centre`.
+    pub fn recipients(&self, data_centre: &str) -> Recipients {
+        let mut recipients = Recipients::default();
+        for (&address, known) in &self.addresses {
+            let is_near = known.data_centre.as_deref().is_none_or(|name| name == data_centre);
+            if is_near { &mut recipients.near } else { &mut recipients.far }.push(address);
+        }
+        recipients
+    }
+
+    /// Intervals of the reports of a gateway in `data_centre`.
+    pub fn report_schedule(&self, data_centre: &str) -> Schedule {
+        let is_near = |known: &&KnownAddress| {
+            known.data_centre.as_deref().is_none_or(|name| name == data_centre)
+        };
+        let near = self.addresses.values().filter(is_near).count();
+        Schedule::new(self.addresses.len() as u32, near as u32)
     }
 
     /// Takes a report; returns whether it is newer than the last one of its sender.
@@ -76,14 +109,18 @@
         now: Duration,
         unix_time: Duration,
         from: SocketAddr,
-        report: gossip::Report,
+        mut report: gossip::Report,
     ) -> bool {
-        self.addresses.insert(from, now);
-        if let Some(known) = self.peers.get(&report.name) {
+        let data_centre = (!report.data_centre.is_empty()).then(|| report.data_centre.clone());
+        self.addresses.insert(from, KnownAddress { heard_at: now, data_centre });
+        if let Some(known) = self.peers.get_mut(&report.name) {
             let is_same_start = known.report.incarnation == report.incarnation;
             if is_same_start && known.report.sequence >= report.sequence {
                 return false;
             }
+            if is_same_start && report.is_brief {
+                complete_brief(&mut report, known, now);
+            }
         }
         self.add_spending(&report);
         let clock_offset_ms = report.wall_ms as i64 - unix_time.as_millis() as i64;
@@ -113,7 +150,8 @@
 
     /// Number of gateways that share quotas and retry budgets, including this one.
     pub fn gateway_count(&self, now: Duration) -> u32 {
-        let members = self.addresses.values().filter(|&&at| now < at + MEMBERSHIP_TIMEOUT).count();
+        let is_member = |known: &&KnownAddress| now < known.heard_at + MEMBERSHIP_TIMEOUT;
+        let members = self.addresses.values().filter(is_member).count();
         members.max(self.peers.len()) as u32 + 1
     }
 
@@ -257,7 +295,23 @@
     }
 
     fn live(&self, now: Duration) -> impl Iterator<Item = &Peer> {
-        self.peers.values().filter(move |peer| now < peer.heard_at + LIVENESS_TIMEOUT)
+        self.peers.values().filter(move |peer| peer.is_live(now))
+    }
+}
+
+/// Takes over what a brief report leaves out from the last report of the same gateway.
+fn complete_brief(report: &mut gossip::Report, known: &mut Peer, now: Duration) {
+    let last = &mut known.report;
+    report.loads = std::mem::take(&mut last.loads);
+    report.demands = last.demands.clone();
+    report.arrivals = std::mem::take(&mut last.arrivals);
+    report.suspects = std::mem::take(&mut last.suspects);
+    let elapsed_ms = now.saturating_sub(known.heard_at).as_millis() as u32;
+    for suspect in &mut report.suspects {
+        let breaks = suspect.breaks.iter_mut().map(|each| &mut each.age_ms);
+        for age_ms in breaks.chain(suspect.finished_age_ms.as_mut()) {
+            *age_ms = age_ms.saturating_add(elapsed_ms);
+        }
     }
 }
 
--- a/forwarding/src/prompt_speed.rs
+++ b/forwarding/src/prompt_speed.rs
@@ -79,6 +79,11 @@
         self.tokens_latency_s *= factor;
     }
 
+    /// Mean time to the first event, in seconds; `None` if the samples are too few.
+    pub fn mean_latency_s(&self) -> Option<f64> {
+        (self.count >= MIN_SAMPLES).then(|| self.latency_s / self.count)
+    }
+
     /// Prompt tokens that one endpoint processes per second; `None` if the samples are too few or
     /// scatter too much for an estimate.
     pub fn tokens_per_s(&self) -> Option<f64> {
--- a/forwarding/src/scaling.rs
+++ b/forwarding/src/scaling.rs
@@ -23,9 +23,19 @@
 /// load.
 const PROMPT_UTILISATION: f64 = 0.75;
 
-/// Fraction of a replica's concurrent requests that is planned for, as demand is uneven over the
-/// replicas and a request at a full replica waits for another one to finish.
-const SLOT_UTILISATION: f64 = 0.7;
+/// Age of other gateways' reports up to which gateways even out the load of the replicas.
+const BALANCING_REPORT_AGE: Duration = Duration::from_millis(150);
+
+/// Decrease of the utilisation for each factor of e by which reports are older: gateways that do not
+/// see each other's requests load some replicas more than others.
+const UTILISATION_PER_REPORT_AGE: f64 = 0.13;
+
+/// Minimum utilisation, with reports of any age.
+const MIN_PROMPT_UTILISATION: f64 = 0.35;
+
+/// Standard deviations of the number of requests in progress at one replica for which slots are
+/// free. Requests arrive independently, so the deviation is the square root of the mean.
+const SLOT_HEADROOM: f64 = 2.0;
 
 /// Replicas that the plan may exceed the needed ones by, as a factor, before reclaimable ones are
 /// released: a released replica loses its cache, and the demand varies from second to second.
@@ -124,6 +134,8 @@
     pub endpoints: Vec<&'p Endpoint>,
     /// Work that arrives at it, at all gateways together.
     pub arrivals: ArrivalRates,
+    /// Interval at which a gateway learns the load of most others.
+    pub report_interval: Duration,
 }
 
 /// Demand on one service.
@@ -400,6 +412,20 @@
     }
 }
 
+/// Fraction of a replica's prompt speed that is planned for, with reports at the given interval.
+fn prompt_utilisation(report_interval: Duration) -> f64 {
+    let age = report_interval.as_secs_f64() / BALANCING_REPORT_AGE.as_secs_f64();
+    let decrease = UTILISATION_PER_REPORT_AGE * age.max(1.0).ln();
+    (PROMPT_UTILISATION - decrease).max(MIN_PROMPT_UTILISATION)
+}
+
+/// Mean number of requests in progress at which a replica has enough slots for their variation: the
+/// `m` for which `m + SLOT_HEADROOM * sqrt(m)` equals the slots.
+fn usable_slots(slots: f64) -> f64 {
+    let half = SLOT_HEADROOM / 2.0;
+    ((half * half + slots).sqrt() - half).powi(2)
+}
+
 fn group(input: &PlanInput<'_>, data_centre: &str, is_reclaimable: bool) -> ReplicaGroup {
     ReplicaGroup {
         service: input.service.to_owned(),
@@ -456,15 +482,15 @@
     /// Replicas that the arriving work takes at the planned utilisation: for its prompts, or for the
     /// requests in progress.
     fn busy_replicas(&self, input: &PlanInput<'_>) -> f64 {
-        let prompt_share = input.arrivals.tokens_per_s / self.tokens_per_s_per_replica;
-        let for_prompts = prompt_share / PROMPT_UTILISATION;
+        let for_prompts = input.arrivals.tokens_per_s
+            / self.tokens_per_s_per_replica
+            / prompt_utilisation(input.report_interval);
         let capacity: u32 = input.endpoints.iter().map(|endpoint| endpoint.entry.capacity).sum();
         if capacity == 0 {
             return for_prompts;
         }
         let slots_per_replica = f64::from(capacity) / input.endpoints.len() as f64;
-        let requests = input.arrivals.generating_requests + prompt_share;
-        for_prompts.max(requests / slots_per_replica / SLOT_UTILISATION)
+        for_prompts.max(input.arrivals.requests_in_progress() / usable_slots(slots_per_replica))
     }
 
     fn is_backlogged(&self, input: &PlanInput<'_>) -> bool {
--- a/gateway/src/duties.rs
+++ b/gateway/src/duties.rs
@@ -19,9 +19,6 @@
 /// Interval at which the lease and the duties are checked.
 const TICK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time after the end of a window until the counts of the other gateways have arrived.
-const SETTLING_DELAY: Duration = Duration::from_millis(1_500);
-
 /// Maximum number of past windows that are still reported after a time without a lease holder.
 const MAX_LATE_WINDOWS: WindowIndex = 3;
 
@@ -94,10 +91,14 @@
 
     /// Next window whose counts have to be recorded in the lease; `None` until they are complete.
     fn due_window(&self, now: Duration) -> Option<(WindowIndex, RequestCounts)> {
-        let unix_time =
-            self.context.dispatcher().peers.median_unix_time(now, self.context.unix_time());
+        let (unix_time, settling_delay) = {
+            let dispatcher = self.context.dispatcher();
+            let schedule = dispatcher.peers.report_schedule(&dispatcher.settings.data_centre);
+            let unix_time = dispatcher.peers.median_unix_time(now, self.context.unix_time());
+            (unix_time, schedule.settling_delay())
+        };
         let current =
-            usage::window_at(unix_time.saturating_sub(SETTLING_DELAY), self.window_length);
+            usage::window_at(unix_time.saturating_sub(settling_delay), self.window_length);
         let settled = self.lease.settled_windows()?;
         let oldest = current.saturating_sub(MAX_LATE_WINDOWS);
         let next = settled.keys().next_back().map_or(oldest, |last| (last + 1).max(oldest));
@@ -186,6 +187,7 @@
         let now = self.context.now();
         let dispatcher = self.context.dispatcher();
         let Some(release) = dispatcher.release().cloned() else { return Vec::new() };
+        let schedule = dispatcher.peers.report_schedule(&dispatcher.settings.data_centre);
         let mut orders = Vec::new();
         for (service, scaling) in release
             .services
@@ -197,6 +199,7 @@
                 scaling,
                 endpoints: dispatcher.endpoints.of_service(service).collect(),
                 arrivals: dispatcher.arrivals(now, service),
+                report_interval: schedule.far,
             };
             orders.extend(self.planner.plan(now, &input));
         }
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Reports that gateways exchange as datagrams.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use forwarding::dispatcher::Dispatcher;
 use forwarding::endpoints::{Change, Endpoint, EndpointTable, Entry};
 use forwarding::prompt_speed::PromptSamples;
+use forwarding::report_schedule::{self, Schedule};
 use platform::store::{self, StoreClient};
 use prost::Message;
 use rhubarbrock_schema::gossip;
@@ -16,12 +18,18 @@
 
 use crate::context::Context;
 
-/// Minimum interval between two reports. The gateways' view of quotas and loads lags by up to one
-/// interval.
-const MIN_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval at which the reports of the other gateways are applied, as a fraction of the interval
+/// of reports to the lease holder, which grows with the fleet like the cost of applying them.
+const APPLY_INTERVAL_SHARE: f64 = 0.34;
 
-/// Minimum interval per other gateway, which limits the datagrams that a gateway sends per second.
-const INTERVAL_PER_PEER: Duration = Duration::from_millis(8);
+/// Minimum interval at which the reports of the other gateways are applied.
+const MIN_APPLY_INTERVAL: Duration = Duration::from_millis(150);
+
+/// Datagrams that are sent at once. More of them overflow the queue of a 10 Mbit/s link.
+const BATCH_DATAGRAMS: usize = 14;
+
+/// Pause between two batches.
+const BATCH_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Time for which an endpoint is reported after it joined.
 const JOINED_REPORT_TIME: Duration = Duration::from_secs(3);
@@ -50,8 +58,12 @@
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Interval at which the gateways are listed again, to find those that a network partition hid.
-const MEMBERS_INTERVAL: Duration = Duration::from_secs(20);
+/// Minimum interval at which the gateways are listed again, to find those that a network partition
+/// hid.
+const MIN_MEMBERS_INTERVAL: Duration = Duration::from_secs(20);
+
+/// Interval of listings per known gateway, as both their number and their length grow with it.
+const MEMBERS_INTERVAL_PER_PEER: Duration = Duration::from_millis(400);
 
 /// Delay after a failed call to the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -59,8 +71,9 @@
 /// Sends reports to all known gateways and applies those received.
 pub(crate) async fn run(context: Context, socket: UdpSocket) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    let mut sequence = 0;
+    let mut reporter = Reporter::default();
     let mut send_at = time::Instant::now();
+    let mut apply_at = send_at;
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
@@ -68,16 +81,145 @@
                 Err(error) => warn!(context.logger, "cannot receive reports"; "error" => %error),
             },
             () = time::sleep_until(send_at) => {
-                sequence += 1;
-                let peers = send_reports(&context, &socket, sequence).await;
-                send_at = time::Instant::now() + MIN_INTERVAL.max(INTERVAL_PER_PEER * peers);
+                let wait = reporter.send_due(&context, &socket).await;
+                send_at = time::Instant::now() + wait;
+            }
+            () = time::sleep_until(apply_at) => {
                 context.dispatcher().on_peer_reports(context.now());
                 remove_expired_connections(&context);
+                let interval = schedule(&context.dispatcher()).duties.mul_f64(APPLY_INTERVAL_SHARE);
+                apply_at = time::Instant::now() + interval.max(MIN_APPLY_INTERVAL);
             }
         }
     }
 }
 
+fn schedule(dispatcher: &Dispatcher) -> Schedule {
+    dispatcher.peers.report_schedule(&dispatcher.settings.data_centre)
+}
+
+/// Sends the reports of this gateway.
+#[derive(Debug, Default)]
+struct Reporter {
+    sequence: u64,
+    /// Times of the next reports, since the instance booted.
+    next: DueTimes,
+    outgoing: Vec<Outgoing>,
+}
+
+/// When reports to each kind of recipient are due.
+#[derive(Debug, Default)]
+struct DueTimes {
+    near: Duration,
+    duties: Duration,
+    far: Duration,
+    brief: Duration,
+}
+
+/// Encoded report with the addresses that it still has to be sent to.
+#[derive(Debug)]
+struct Outgoing {
+    datagram: Vec<u8>,
+    addresses: Vec<SocketAddr>,
+}
+
+impl Reporter {
+    /// Sends a batch of the reports that are due; returns the time until the next batch.
+    async fn send_due(&mut self, context: &Context, socket: &UdpSocket) -> Duration {
+        if self.outgoing.is_empty() {
+            self.outgoing = self.due_reports(context, context.now());
+        }
+        let mut batch = BATCH_DATAGRAMS;
+        while batch > 0
+            && let Some(outgoing) = self.outgoing.last_mut()
+        {
+            match outgoing.addresses.pop() {
+                // An error is ignored, like the loss of a datagram.
+                Some(address) => drop(socket.send_to(&outgoing.datagram, address).await),
+                None => drop(self.outgoing.pop()),
+            }
+            batch -= 1;
+        }
+        if !self.outgoing.is_empty() {
+            return BATCH_INTERVAL;
+        }
+        let next = &self.next;
+        let next_at = next.near.min(next.duties).min(next.far).min(next.brief);
+        next_at.saturating_sub(context.now()).max(BATCH_INTERVAL)
+    }
+
+    fn due_reports(&mut self, context: &Context, now: Duration) -> Vec<Outgoing> {
+        self.sequence += 1;
+        let full = report(context, self.sequence);
+        let dispatcher = context.dispatcher();
+        let schedule = schedule(&dispatcher);
+        let recipients = dispatcher.peers.recipients(&dispatcher.settings.data_centre);
+        let rank = dispatcher.peers.name_rank(now, &dispatcher.settings.name);
+        let sends_brief =
+            report_schedule::sends_brief_reports(full.reads_entries, full.holds_lease, rank);
+        let stated = |interval: Duration| {
+            let interval = if sends_brief { interval.min(schedule.brief) } else { interval };
+            interval.as_millis() as u32
+        };
+        let mut outgoing = Vec::new();
+        let mut served = BTreeSet::new();
+        if is_due(&mut self.next.duties, now, schedule.duties) {
+            let addresses = dispatcher.peers.duty_addresses(now, USAGE_BACKUPS);
+            let with_usage = gossip::Report {
+                usage: usage(&dispatcher, now),
+                interval_ms: stated(schedule.duties),
+                ..full.clone()
+            };
+            outgoing.push(Outgoing::new(&with_usage, addresses.iter().copied().collect()));
+            served = addresses;
+        }
+        let audiences = [
+            (&mut self.next.near, schedule.near, recipients.near),
+            (&mut self.next.far, schedule.far, recipients.far),
+        ];
+        for (next, interval, addresses) in audiences {
+            if is_due(next, now, interval) {
+                let addresses = addresses.into_iter().filter(|address| !served.contains(address));
+                let report = gossip::Report { interval_ms: stated(interval), ..full.clone() };
+                let addresses: Vec<SocketAddr> = addresses.collect();
+                served.extend(addresses.iter().copied());
+                outgoing.push(Outgoing::new(&report, addresses));
+            }
+        }
+        if is_due(&mut self.next.brief, now, schedule.brief) && sends_brief {
+            let all = dispatcher.peers.recipients("");
+            let addresses = all.near.into_iter().chain(all.far);
+            let brief = gossip::Report {
+                loads: Vec::new(),
+                demands: Vec::new(),
+                arrivals: Vec::new(),
+                suspects: Vec::new(),
+                is_brief: true,
+                interval_ms: stated(schedule.brief),
+                ..full
+            };
+            let addresses = addresses.filter(|address| !served.contains(address)).collect();
+            outgoing.push(Outgoing::new(&brief, addresses));
+        }
+        outgoing
+    }
+}
+
+impl Outgoing {
+    fn new(report: &gossip::Report, addresses: Vec<SocketAddr>) -> Outgoing {
+        Outgoing { datagram: report.encode_to_vec(), addresses }
+    }
+}
+
+/// Whether a report is due; if so, sets the time of the next one.
+fn is_due(next: &mut Duration, now: Duration, interval: Duration) -> bool {
+    let is_due = now >= *next;
+    if is_due {
+        *next = now + interval;
+    }
+    is_due
+}
+
 fn remove_expired_connections(context: &Context) {
     for id in context.pool.remove_expired() {
         let is_known = {
@@ -149,29 +291,6 @@
     }
 }
 
-async fn send_reports(context: &Context, socket: &UdpSocket, sequence: u64) -> u32 {
-    let report = report(context, sequence);
-    let (with_usage, addresses, duty_addresses) = {
-        let now = context.now();
-        let dispatcher = context.dispatcher();
-        let usage = usage(&dispatcher, now);
-        let with_usage = gossip::Report { usage, ..report.clone() };
-        let duty_addresses = dispatcher.peers.duty_addresses(now, USAGE_BACKUPS);
-        (with_usage.encode_to_vec(), dispatcher.peers.addresses(), duty_addresses)
-    };
-    let without_usage = report.encode_to_vec();
-    let mut sent = 0;
-    for address in addresses {
-        let is_for_duties = duty_addresses.contains(&address);
-        let datagram = if is_for_duties { &with_usage } else { &without_usage };
-        // An error is ignored, like the loss of a datagram.
-        if socket.send_to(datagram, address).await.is_ok() {
-            sent += 1;
-        }
-    }
-    sent
-}
-
 fn report(context: &Context, sequence: u64) -> gossip::Report {
     let now = context.now();
     let unix_time = context.unix_time();
@@ -219,6 +338,9 @@
         endpoints_hash: dispatcher.endpoints.hash(),
         store_age_ms: store_age.map_or(u32::MAX, |age| age.as_millis() as u32),
         suspects,
+        interval_ms: 0,
+        data_centre: dispatcher.settings.data_centre.clone(),
+        is_brief: false,
     }
 }
 
@@ -340,7 +462,7 @@
                 }
             }
         }
-        match store.list_newest(store::MEMBERS_TOPIC, CALL_TIMEOUT).await {
+        let interval = match store.list_newest(store::MEMBERS_TOPIC, CALL_TIMEOUT).await {
             Ok(listing) => {
                 let now = context.now();
                 let members = listing.records.iter().filter_map(|record| {
@@ -348,16 +470,17 @@
                 });
                 let others: Vec<SocketAddr> = members.filter(|&member| member != own).collect();
                 info!(context.logger, "gateways listed"; "others" => others.len());
+                let interval = MEMBERS_INTERVAL_PER_PEER * others.len() as u32;
                 for member in others {
                     context.dispatcher().peers.add_address(now, member);
                 }
+                interval.max(MIN_MEMBERS_INTERVAL)
             }
             Err(error) => {
                 warn!(context.logger, "cannot list the other gateways"; "error" => %error);
-                time::sleep(STORE_RETRY_DELAY).await;
-                continue;
+                STORE_RETRY_DELAY
             }
-        }
-        time::sleep(MEMBERS_INTERVAL).await;
+        };
+        time::sleep(interval).await;
     }
 }
