--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -1,6 +1,5 @@
-//! Reports that gateways exchange as datagrams.
+//! Contents of the reports that gateways exchange as datagrams, and their application.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -8,7 +7,6 @@
 use forwarding::dispatcher::Dispatcher;
 use forwarding::endpoints::{Change, Endpoint, EndpointTable, Entry};
 use forwarding::prompt_speed::PromptSamples;
-use forwarding::report_schedule::{self, Schedule};
 use platform::store::{self, StoreClient};
 use prost::Message;
 use rhubarbrock_schema::gossip;
@@ -17,6 +15,7 @@
 use tokio::time;
 
 use crate::context::Context;
+use crate::reporter::{self, Reporter};
 
 /// Interval at which the reports of the other gateways are applied, as a fraction of the interval
 /// of reports to the lease holder, which grows with the fleet like the cost of applying them.
@@ -25,12 +24,6 @@
 /// Minimum interval at which the reports of the other gateways are applied.
 const MIN_APPLY_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Datagrams that are sent at once. More of them overflow the queue of a 10 Mbit/s link.
-const BATCH_DATAGRAMS: usize = 14;
-
-/// Pause between two batches.
-const BATCH_INTERVAL: Duration = Duration::from_millis(10);
-
 /// Time for which an endpoint is reported after it joined.
 const JOINED_REPORT_TIME: Duration = Duration::from_secs(3);
 
@@ -46,9 +39,6 @@
 /// Maximum number of usage rows in a report, which limits it to a few kilobytes.
 const MAX_USAGE_ROWS: usize = 200;
 
-/// Number of gateways besides the lease holder that receive usage, as the next holder is one of them.
-const USAGE_BACKUPS: u32 = 2;
-
 /// Time for which a departure is reported. It spans several reports, as datagrams may be lost.
 const DEPARTURE_REPORT_TIME: Duration = Duration::from_millis(2_500);
 
@@ -87,139 +77,13 @@
             () = time::sleep_until(apply_at) => {
                 context.dispatcher().on_peer_reports(context.now());
                 remove_expired_connections(&context);
-                let interval = schedule(&context.dispatcher()).duties.mul_f64(APPLY_INTERVAL_SHARE);
+                let interval = reporter::schedule(&context.dispatcher()).duties.mul_f64(APPLY_INTERVAL_SHARE);
                 apply_at = time::Instant::now() + interval.max(MIN_APPLY_INTERVAL);
             }
         }
     }
 }
 
-fn schedule(dispatcher: &Dispatcher) -> Schedule {
-    dispatcher.peers.report_schedule(&dispatcher.settings.data_centre)
-}
-
-/// Sends the reports of this gateway.
-#[derive(Debug, Default)]
-struct Reporter {
-    sequence: u64,
-    /// Times of the next reports, since the instance booted.
-    next: DueTimes,
-    outgoing: Vec<Outgoing>,
-}
-
-/// When reports to each kind of recipient are due.
-#[derive(Debug, Default)]
-struct DueTimes {
-    near: Duration,
-    duties: Duration,
-    far: Duration,
-    brief: Duration,
-}
-
-/// Encoded report with the addresses that it still has to be sent to.
-#[derive(Debug)]
-struct Outgoing {
-    datagram: Vec<u8>,
-    addresses: Vec<SocketAddr>,
-}
-
-impl Reporter {
-    /// Sends a batch of the reports that are due; returns the time until the next batch.
-    async fn send_due(&mut self, context: &Context, socket: &UdpSocket) -> Duration {
-        if self.outgoing.is_empty() {
-            self.outgoing = self.due_reports(context, context.now());
-        }
-        let mut batch = BATCH_DATAGRAMS;
-        while batch > 0
-            && let Some(outgoing) = self.outgoing.last_mut()
-        {
-            match outgoing.addresses.pop() {
-                // An error is ignored, like the loss of a datagram.
-                Some(address) => drop(socket.send_to(&outgoing.datagram, address).await),
-                None => drop(self.outgoing.pop()),
-            }
-            batch -= 1;
-        }
-        if !self.outgoing.is_empty() {
-            return BATCH_INTERVAL;
-        }
-        let next = &self.next;
-        let next_at = next.near.min(next.duties).min(next.far).min(next.brief);
-        next_at.saturating_sub(context.now()).max(BATCH_INTERVAL)
-    }
-
-    fn due_reports(&mut self, context: &Context, now: Duration) -> Vec<Outgoing> {
-        self.sequence += 1;
-        let full = report(context, self.sequence);
-        let dispatcher = context.dispatcher();
-        let schedule = schedule(&dispatcher);
-        let recipients = dispatcher.peers.recipients(&dispatcher.settings.data_centre);
-        let rank = dispatcher.peers.name_rank(now, &dispatcher.settings.name);
-        let sends_brief =
-            report_schedule::sends_brief_reports(full.reads_entries, full.holds_lease, rank);
-        let stated = |interval: Duration| {
-            let interval = if sends_brief { interval.min(schedule.brief) } else { interval };
-            interval.as_millis() as u32
-        };
-        let mut outgoing = Vec::new();
-        let mut served = BTreeSet::new();
-        if is_due(&mut self.next.duties, now, schedule.duties) {
-            let addresses = dispatcher.peers.duty_addresses(now, USAGE_BACKUPS);
-            let with_usage = gossip::Report {
-                usage: usage(&dispatcher, now),
-                interval_ms: stated(schedule.duties),
-                ..full.clone()
-            };
-            outgoing.push(Outgoing::new(&with_usage, addresses.iter().copied().collect()));
-            served = addresses;
-        }
-        let audiences = [
-            (&mut self.next.near, schedule.near, recipients.near),
-            (&mut self.next.far, schedule.far, recipients.far),
-        ];
-        for (next, interval, addresses) in audiences {
-            if is_due(next, now, interval) {
-                let addresses = addresses.into_iter().filter(|address| !served.contains(address));
-                let report = gossip::Report { interval_ms: stated(interval), ..full.clone() };
-                let addresses: Vec<SocketAddr> = addresses.collect();
-                served.extend(addresses.iter().copied());
-                outgoing.push(Outgoing::new(&report, addresses));
-            }
-        }
-        if is_due(&mut self.next.brief, now, schedule.brief) && sends_brief {
-            let all = dispatcher.peers.recipients("");
-            let addresses = all.near.into_iter().chain(all.far);
-            let brief = gossip::Report {
-                loads: Vec::new(),
-                demands: Vec::new(),
-                arrivals: Vec::new(),
-                suspects: Vec::new(),
-                is_brief: true,
-                interval_ms: stated(schedule.brief),
-                ..full
-            };
-            let addresses = addresses.filter(|address| !served.contains(address)).collect();
-            outgoing.push(Outgoing::new(&brief, addresses));
-        }
-        outgoing
-    }
-}
-
-impl Outgoing {
-    fn new(report: &gossip::Report, addresses: Vec<SocketAddr>) -> Outgoing {
-        Outgoing { datagram: report.encode_to_vec(), addresses }
-    }
-}
-
-/// Whether a report is due; if so, sets the time of the next one.
-fn is_due(next: &mut Duration, now: Duration, interval: Duration) -> bool {
-    let is_due = now >= *next;
-    if is_due {
-        *next = now + interval;
-    }
-    is_due
-}
-
 fn remove_expired_connections(context: &Context) {
     for id in context.pool.remove_expired() {
         let is_known = {
@@ -291,7 +155,7 @@
     }
 }
 
-fn report(context: &Context, sequence: u64) -> gossip::Report {
+pub(crate) fn report(context: &Context, sequence: u64) -> gossip::Report {
     let now = context.now();
     let unix_time = context.unix_time();
     let dispatcher = context.dispatcher();
@@ -345,7 +209,7 @@
 }
 
 /// Usage rows of this gateway, and of gateways that are no longer live.
-fn usage(dispatcher: &Dispatcher, now: Duration) -> Vec<gossip::Usage> {
+pub(crate) fn usage(dispatcher: &Dispatcher, now: Duration) -> Vec<gossip::Usage> {
     let own = dispatcher.usage.own();
     let latest = own.keys().next_back().copied().unwrap_or_default();
     let oldest = latest.saturating_sub(REPORTED_PAST_WINDOWS);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod monitoring;
 mod pool;
 mod relay;
+mod reporter;
 pub mod run;
 mod server;
 mod shutdown;
