Take no earlier spending from a gateway that is known by brief reports only

Cause: brief reports carry no demands. A gateway that had just started and heard a brief report first took all that the sender had ever spent as spent since then, so quotas of all gateways were overdrawn there.

Change: a brief report is completed from a complete one only; until then nothing is added. Gateways that send no brief reports do not wake for them.

Test: brief_report_first_adds_no_earlier_spending, which failed with 900,000 units.

--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -118,7 +118,7 @@
             if is_same_start && known.report.sequence >= report.sequence {
                 return false;
             }
-            if is_same_start && report.is_brief {
+            if is_same_start && report.is_brief && !known.report.is_brief {
                 complete_brief(&mut report, known, now);
             }
         }
@@ -130,9 +130,12 @@
     }
 
     /// Adds what a gateway spent since its last report. Nothing is added for a gateway that was not
-    /// known, as it is unclear how much of its spending is recent.
+    /// known, or by brief reports only, as it is unclear how much of its spending is recent.
     fn add_spending(&mut self, report: &gossip::Report) {
         let Some(known) = self.peers.get(&report.name) else { return };
+        if known.report.is_brief {
+            return;
+        }
         let is_same_start = known.report.incarnation == report.incarnation;
         for demand in &report.demands {
             let reported = known.report.demands.iter().filter(|_| is_same_start);
@@ -299,9 +302,10 @@
     }
 }
 
-/// Takes over what a brief report leaves out from the last report of the same gateway.
+/// Takes over what a brief report leaves out from the last complete report of the same gateway.
 fn complete_brief(report: &mut gossip::Report, known: &mut Peer, now: Duration) {
     let last = &mut known.report;
+    report.is_brief = false;
     report.loads = std::mem::take(&mut last.loads);
     report.demands = last.demands.clone();
     report.arrivals = std::mem::take(&mut last.arrivals);
--- a/forwarding/tests/fleet_size.rs
+++ b/forwarding/tests/fleet_size.rs
@@ -153,3 +153,29 @@
     let demand = peers.demands(ms(1_600))["acme"];
     assert_eq!((demand.units_per_s, demand.spent_units), (7.0, 30.0));
 }
+
+/// A gateway that has just started may hear a brief report first. What the sender spent before is
+/// not recent spending.
+#[test]
+fn brief_report_first_adds_no_earlier_spending() {
+    let address = "127.0.0.1:7".parse().unwrap();
+    let report = |sequence, is_brief, spent_units| gossip::Report {
+        name: "a".to_owned(),
+        sequence,
+        is_brief,
+        demands: if is_brief {
+            Vec::new()
+        } else {
+            vec![gossip::Demand { organisation: "acme".to_owned(), units_per_s: 7, spent_units }]
+        },
+        ..gossip::Report::default()
+    };
+    let mut peers = Peers::default();
+    peers.on_report(ms(0), ms(0), address, report(1, true, 0));
+    peers.on_report(ms(300), ms(300), address, report(2, true, 0));
+    peers.on_report(ms(600), ms(600), address, report(3, false, 900_000));
+    assert_eq!(peers.demands(ms(600))["acme"].spent_units, 0.0);
+    peers.on_report(ms(900), ms(900), address, report(4, true, 0));
+    peers.on_report(ms(1_200), ms(1_200), address, report(5, false, 900_040));
+    assert_eq!(peers.demands(ms(1_200))["acme"].spent_units, 40.0);
+}
--- a/gateway/src/reporter.rs
+++ b/gateway/src/reporter.rs
@@ -116,7 +116,8 @@
                 outgoing.push(Outgoing::new(&report, addresses));
             }
         }
-        if is_due(&mut self.next.brief, now, schedule.brief) && sends_brief {
+        let brief_interval = if sends_brief { schedule.brief } else { schedule.far };
+        if is_due(&mut self.next.brief, now, brief_interval) && sends_brief {
             let all = dispatcher.peers.recipients("");
             let addresses = all.near.into_iter().chain(all.far);
             let brief = gossip::Report {
