Tell when a gateway stays behind the release that others report

The logs could not tell a gateway that does not know of a newer release from one that knows and does not ask for it, so the line 'release is behind' and the gauge gateway_release_behind_seconds are added before any change of logic.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -9,6 +9,7 @@
 use crate::endpoints::{EndpointId, EndpointTable};
 use crate::peers::Peers;
 use crate::quota::{self, Accounts};
+use crate::refusal::{RefusalReason, UNAVAILABLE_RETRY_AFTER};
 use crate::release::{Release, RouteKind};
 use crate::request::{Prompt, Request};
 use crate::retry_budget::RetryBudget;
@@ -24,63 +25,6 @@
 /// Time for which connections to an endpoint are not reused after it sent stray bytes.
 const NO_REUSE_PAUSE: Duration = Duration::from_secs(10);
 
-/// Retry delay sent to callers on temporary conditions, such as a missing release or endpoint.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
-
-/// Retry delay sent to the caller of a request that crashes endpoints.
-const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(5);
-
-/// Why a request was refused admission or another attempt.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum RefusalReason {
-    /// The gateway has no release yet.
-    #[display("no release is known yet")]
-    NoRelease,
-    /// No route matches host and path.
-    #[display("no route fits host and path")]
-    NoRoute,
-    /// The key is missing or unknown.
-    #[display("the key is missing or unknown")]
-    UnknownKey,
-    /// The organisation's quota is spent.
-    #[display("the organisation's quota is spent")]
-    OverQuota(quota::Shortage),
-    /// The request has crashed several endpoints.
-    #[display("the request has crashed endpoints")]
-    Suspect,
-    /// The service has no endpoint left to try.
-    #[display("the service has no endpoint left to try")]
-    NoEndpoint,
-    /// The retry budget allows no further attempt.
-    #[display("the service's endpoints are full")]
-    Full {
-        /// Time after which the caller may retry.
-        wait: Duration,
-    },
-    /// The deadline passed before the request was sent.
-    #[display("the time limit passed before the request was sent")]
-    Expired,
-    /// The gateway is shutting down.
-    #[display("the gateway is about to stop")]
-    Stopping,
-}
-
-impl RefusalReason {
-    /// Time after which the caller may retry; `None` if a retry cannot succeed.
-    pub fn retry_after(&self) -> Option<Duration> {
-        match self {
-            RefusalReason::NoRoute | RefusalReason::UnknownKey => None,
-            RefusalReason::OverQuota(shortage) => Some(shortage.wait),
-            RefusalReason::Full { wait } => Some(*wait),
-            RefusalReason::Suspect => Some(SUSPECT_RETRY_AFTER),
-            RefusalReason::Stopping => Some(Duration::ZERO),
-            RefusalReason::NoRelease | RefusalReason::NoEndpoint | RefusalReason::Expired => {
-                Some(UNAVAILABLE_RETRY_AFTER)
-            }
-        }
-    }
-}
-
 /// Why an attempt at an endpoint failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Outcome {
@@ -231,6 +175,11 @@
         self.release.as_ref()
     }
 
+    /// Version of the release in force; 0 if there is none.
+    pub fn release_version(&self) -> u64 {
+        self.release.as_ref().map_or(0, |release| release.version)
+    }
+
     /// Takes a release; returns whether it is newer than the one in force and replaced it.
     pub fn on_release(&mut self, release: Release) -> bool {
         let is_newer = self.release.as_ref().is_none_or(|known| known.version < release.version);
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -18,6 +18,7 @@
 //! ```
 
 pub mod arrivals;
+pub mod catch_up;
 pub mod dispatcher;
 pub mod endpoints;
 pub mod event_stream;
@@ -25,6 +26,7 @@
 pub mod peers;
 pub mod prompt_speed;
 pub mod quota;
+pub mod refusal;
 pub mod release;
 pub mod report_schedule;
 pub mod request;
--- a/forwarding/src/store_role.rs
+++ b/forwarding/src/store_role.rs
@@ -74,6 +74,8 @@
     pub releases_at: Option<Duration>,
     /// Last answer to a read of endpoint entries.
     pub entries_at: Option<Duration>,
+    /// Whether the latest read of either kind failed.
+    pub is_failing: bool,
 }
 
 impl StoreAnswerTimes {
--- a/forwarding/tests/dispatcher.rs
+++ b/forwarding/tests/dispatcher.rs
@@ -4,8 +4,9 @@
 
 use std::time::Duration;
 
-use forwarding::dispatcher::{AdmittedRequest, Dispatcher, Outcome, RefusalReason};
+use forwarding::dispatcher::{AdmittedRequest, Dispatcher, Outcome};
 use forwarding::endpoints::Entry;
+use forwarding::refusal::RefusalReason;
 use support::{MODEL_SERVICE, PLAIN_SERVICE, entry, ms, prompt, release, request, settings};
 
 fn dispatcher() -> Dispatcher {
--- a/forwarding/tests/store_role.rs
+++ b/forwarding/tests/store_role.rs
@@ -82,7 +82,7 @@
 
 #[test]
 fn returns_age_of_older_answer() {
-    let mut answers = StoreAnswerTimes { releases_at: None, entries_at: Some(ms(900)) };
+    let mut answers = StoreAnswerTimes { entries_at: Some(ms(900)), ..StoreAnswerTimes::default() };
     assert_eq!(answers.age(ms(1_000)), None);
     answers.releases_at = Some(ms(300));
     assert_eq!(answers.age(ms(1_000)), Some(ms(700)));
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forwarding::dispatcher::{AdmittedRequest, Outcome, RefusalReason, Target};
+use forwarding::dispatcher::{AdmittedRequest, Outcome, Target};
+use forwarding::refusal::RefusalReason;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
--- a/gateway/src/frontend.rs
+++ b/gateway/src/frontend.rs
@@ -7,7 +7,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forwarding::dispatcher::{Dispatcher, RefusalReason};
+use forwarding::dispatcher::Dispatcher;
+use forwarding::refusal::RefusalReason;
 use forwarding::release::Limits;
 use forwarding::request::Request;
 use futures_util::stream;
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -187,7 +187,7 @@
         incarnation: context.incarnation,
         sequence,
         wall_ms: unix_time.as_millis() as u64,
-        release_version: dispatcher.release().map_or(0, |release| release.version),
+        release_version: dispatcher.release_version(),
         holds_lease: context.holds_lease.load(Ordering::Relaxed),
         loads: loads.collect(),
         demands: demands.collect(),
--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use forwarding::catch_up::CatchUp;
 use forwarding::endpoints::EndpointTable;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -12,8 +13,9 @@
 use platform::channel::Channel;
 use prost::Message;
 use rhubarbrock_schema::gossip;
-use slog::info;
+use slog::{info, warn};
 use tokio::net::TcpListener;
+use tokio::time;
 
 use crate::context::Context;
 use crate::gossip as gossip_reports;
@@ -30,6 +32,9 @@
 /// have started only recently itself.
 const MAX_SOURCES: usize = 3;
 
+/// Interval at which this gateway compares its release with those that others report.
+const CHECK_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Every handover uses a new connection.
 const GATEWAY_CLIENTS: ClientSettings = ClientSettings {
     connection_kind: "a gateway connection",
@@ -54,6 +59,28 @@
     Response::new(Full::new(handover.encode_to_vec().into()))
 }
 
+/// Watches for newer releases that this gateway does not get.
+pub(crate) async fn follow(context: Context) {
+    let mut catch_up = CatchUp::default();
+    loop {
+        time::sleep(CHECK_INTERVAL).await;
+        let now = context.now();
+        let (own, reported, is_store_failing) = {
+            let dispatcher = context.dispatcher();
+            let reported = dispatcher.peers.newest_release_version();
+            (dispatcher.release_version(), reported, dispatcher.store_answer_times.is_failing)
+        };
+        let was_late = catch_up.is_late(now);
+        catch_up.update(now, own < reported);
+        metrics::gauge!("gateway_release_behind_seconds")
+            .set(catch_up.behind_for(now).as_secs_f64());
+        if catch_up.is_late(now) && !was_late {
+            warn!(context.logger, "release is behind"; "version" => own,
+                "reported" => reported, "is_store_failing" => is_store_failing);
+        }
+    }
+}
+
 /// Requests a handover from other gateways until this one has a release and an endpoint and no
 /// newer release is reported.
 pub(crate) async fn request_if_needed(context: &Context) {
@@ -79,8 +106,8 @@
 /// Whether this gateway has no release or no endpoint, or another gateway reports a newer release.
 fn is_needed(context: &Context) -> bool {
     let dispatcher = context.dispatcher();
-    let own = dispatcher.release().map_or(0, |release| release.version);
-    !dispatcher.is_ready() || dispatcher.peers.newest_release_version() > own
+    !dispatcher.is_ready()
+        || dispatcher.peers.newest_release_version() > dispatcher.release_version()
 }
 
 async fn request(address: SocketAddr) -> anyhow::Result<gossip::Handover> {
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -62,6 +62,7 @@
     tasks.spawn(monitoring::serve(context.clone(), readiness_listener, None));
     tasks.spawn(monitoring::serve(context.clone(), metrics_listener, Some(metrics)));
     tasks.spawn(gossip::join(context.clone(), peer_address));
+    tasks.spawn(handover::follow(context.clone()));
     tasks.spawn(handover::serve(context.clone(), handover_listener));
     tasks.spawn(gossip::run(context.clone(), socket));
     tasks.spawn(duties::run(context.clone()));
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -123,8 +123,7 @@
     loop {
         time::sleep(PEER_POLL_INTERVAL).await;
         let dispatcher = context.dispatcher();
-        let own = dispatcher.release().map_or(0, |release| release.version);
-        if dispatcher.peers.newest_release_version() > own {
+        if dispatcher.peers.newest_release_version() > dispatcher.release_version() {
             return;
         }
     }
@@ -299,6 +298,7 @@
                 Topic::Releases => answer_times.releases_at = Some(now),
                 Topic::Entries => answer_times.entries_at = Some(now),
             }
+            answer_times.is_failing = false;
         }
         let Some(unavailable_since) = self.unavailable_since.take() else { return };
         let unavailable_for = now.saturating_sub(unavailable_since);
@@ -314,6 +314,7 @@
 
     fn on_error(&mut self, context: &Context, error: &StoreError) {
         metrics::counter!("gateway_store_failures_total").increment(1);
+        context.dispatcher().store_answer_times.is_failing = true;
         if self.unavailable_since.is_none() {
             warn!(context.logger, "store lost"; "topic" => ?self.topic, "error" => %error);
             self.unavailable_since = Some(context.now());
