Ask other gateways for a release whatever the store's calls do

Callers of a gateway that the store turned away were refused by an old release for up to 13 s, where 9 s are allowed (3 s, and 6 s more while the store is unstable).

Cause: a handover was requested only where a listing of the store failed. A reader of the store reads and does not list, and its check of what others report started anew with each read, so reads that failed within 300 ms kept it from ever being made.

The decision is now a task of its own, which looks at what the gateway lacks and for how long: it asks others at once while the store fails, and after a quarter of the time allowed while a call hangs. The reading loops only read.

Test: reader_refused_by_the_store_gets_newer_releases_from_others_in_time failed before (401 where 200 was expected: release 9 is not in force after 2 s).

--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -1,5 +1,5 @@
-//! Handover of the release and the endpoints between gateways, for gateways that the store does not
-//! answer.
+//! Handover of the release and the endpoints between gateways, for gateways that do not get them
+//! from the store in time.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,7 +32,7 @@
 /// have started only recently itself.
 const MAX_SOURCES: usize = 3;
 
-/// Interval at which this gateway compares its release with those that others report.
+/// Interval at which this gateway compares what it has with what others report.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Every handover uses a new connection.
@@ -59,40 +59,66 @@
     Response::new(Full::new(handover.encode_to_vec().into()))
 }
 
-/// Watches for newer releases that this gateway does not get.
+/// Watches what this gateway lacks, and requests handovers while the store does not provide it.
 pub(crate) async fn follow(context: Context) {
-    let mut catch_up = CatchUp::default();
+    let release_delay = context.dispatcher().settings.bounds.release_delay;
+    let mut catch_up = CatchUp::new(release_delay);
     loop {
         time::sleep(CHECK_INTERVAL).await;
         let now = context.now();
-        let (own, reported, is_store_failing) = {
-            let dispatcher = context.dispatcher();
-            let reported = dispatcher.peers.newest_release_version();
-            (dispatcher.release_version(), reported, dispatcher.store_answer_times.is_failing)
-        };
+        let need = Need::of(&context);
         let was_late = catch_up.is_late(now);
-        catch_up.update(now, own < reported);
+        catch_up.update(now, need.is_behind());
         metrics::gauge!("gateway_release_behind_seconds")
             .set(catch_up.behind_for(now).as_secs_f64());
         if catch_up.is_late(now) && !was_late {
-            warn!(context.logger, "release is behind"; "version" => own,
-                "reported" => reported, "is_store_failing" => is_store_failing);
+            warn!(context.logger, "release is behind"; "version" => need.version,
+                "reported" => need.reported_version, "is_store_failing" => need.is_store_failing);
+        }
+        let must_start = need.is_store_failing && !need.is_ready;
+        if must_start || catch_up.must_ask_others(now, need.is_store_failing) {
+            request_until_complete(&context).await;
         }
     }
 }
 
-/// Requests a handover from other gateways until this one has a release and an endpoint and no
-/// newer release is reported.
-pub(crate) async fn request_if_needed(context: &Context) {
-    if !is_needed(context) {
-        return;
+/// What this gateway has, compared with what others report.
+struct Need {
+    version: u64,
+    reported_version: u64,
+    is_ready: bool,
+    is_store_failing: bool,
+}
+
+impl Need {
+    fn of(context: &Context) -> Need {
+        let dispatcher = context.dispatcher();
+        Need {
+            version: dispatcher.release_version(),
+            reported_version: dispatcher.peers.newest_release_version(),
+            is_ready: dispatcher.is_ready(),
+            is_store_failing: dispatcher.store_answer_times.is_failing,
+        }
     }
+
+    fn is_behind(&self) -> bool {
+        self.version < self.reported_version
+    }
+
+    /// Whether a handover has nothing to add.
+    fn is_met(&self) -> bool {
+        self.is_ready && !self.is_behind()
+    }
+}
+
+/// Requests a handover from one gateway after the other until nothing is missing.
+async fn request_until_complete(context: &Context) {
     let addresses = context.dispatcher().peers.addresses_by_release(context.now());
     for address in addresses.into_iter().take(MAX_SOURCES) {
         match request(address).await {
             Ok(handover) => {
                 apply(context, address, &handover);
-                if !is_needed(context) {
+                if Need::of(context).is_met() {
                     return;
                 }
             }
@@ -103,13 +129,6 @@
     }
 }
 
-/// Whether this gateway has no release or no endpoint, or another gateway reports a newer release.
-fn is_needed(context: &Context) -> bool {
-    let dispatcher = context.dispatcher();
-    !dispatcher.is_ready()
-        || dispatcher.peers.newest_release_version() > dispatcher.release_version()
-}
-
 async fn request(address: SocketAddr) -> anyhow::Result<gossip::Handover> {
     let mut channel = Channel::new(address);
     let answer = channel.call(Method::GET, PATH, &[], Bytes::new(), CALL_TIMEOUT).await?;
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -12,7 +12,6 @@
 use tokio::time;
 
 use crate::context::Context;
-use crate::handover;
 
 /// Timeout of a call; the store usually answers within a few milliseconds.
 const CALL_TIMEOUT: Duration = Duration::from_millis(450);
@@ -38,8 +37,7 @@
 /// Maximum length of an invalid entry in a log line, in bytes.
 const MAX_LOGGED_BYTES: usize = 80;
 
-/// Lists a topic, and repeats this until the store answers. Meanwhile, requests handovers from other
-/// gateways.
+/// Lists a topic, and repeats this until the store answers.
 async fn list_until_answered(
     context: &Context,
     store: &mut StoreClient,
@@ -54,7 +52,6 @@
             }
             Err(error) => {
                 health.on_error(context, &error);
-                handover::request_if_needed(context).await;
                 time::sleep(RETRY_DELAY).await;
             }
         }
