Take endpoints of a handover only while the store fails

A gateway that asks others because it is late, though the store answers it, would otherwise enter endpoints that the store no longer lists.

--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -156,6 +156,11 @@
     if !handover.release.is_empty() {
         store_watch::apply_release_record(context, &handover.release);
     }
+    // While the store answers, its entries are newer than those of another gateway.
+    let need = Need::of(context);
+    if need.is_ready && !need.is_store_failing {
+        return;
+    }
     for row in &handover.endpoints {
         let source = source.to_string();
         gossip_reports::apply_joined(context, row, &source, EndpointTable::on_handover_entry);
