Refuse parts of prompts that crash endpoints

Cause: requests that crash endpoints are recognised by a hash over all of their bytes, and no two of these are alike but for that part.

forwarding::prompt_suspects blames the parts that requests share, once three distinct requests broke three distinct endpoints while others finished and none with the part did. Completions at any gateway clear a part; observations that suffice are taken over by all gateways and so outlast those that made them.

Test: part_of_prompts_that_crashes_endpoints_is_refused_and_sound_prompts_are_not failed before (the request was admitted).

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::arrivals::{ArrivalMeter, ArrivalRates};
 use crate::endpoints::{EndpointId, EndpointTable};
 use crate::peers::Peers;
+use crate::prompt_suspects::{self, PartHash, PromptSuspects};
 use crate::quota::{self, Accounts};
 use crate::refusal::{RefusalReason, UNAVAILABLE_RETRY_AFTER};
 use crate::release::{Release, RouteKind};
@@ -84,6 +85,8 @@
     pub prompt: Option<Prompt>,
     /// Hash by which repetitions are recognised.
     pub fingerprint: Fingerprint,
+    /// Parts of its prompt that other requests may share.
+    pub shared_parts: Vec<PartHash>,
     /// Endpoints that it was sent to, in order.
     pub tried: Vec<EndpointId>,
     /// Number of endpoints that may have run it.
@@ -141,6 +144,8 @@
     pub usage: Usage,
     /// Requests that may crash endpoints.
     pub suspects: Suspects,
+    /// Parts of prompts that may crash endpoints.
+    pub prompt_suspects: PromptSuspects,
     /// Whether this gateway reads the store.
     pub store_role: StoreRole,
     /// Times of the store's last answers to this gateway's reads.
@@ -162,6 +167,7 @@
             accounts,
             usage: Usage::default(),
             suspects: Suspects::default(),
+            prompt_suspects: PromptSuspects::default(),
             store_role: StoreRole::default(),
             store_answer_times: StoreAnswerTimes::default(),
             arrival_meter: ArrivalMeter::default(),
@@ -229,9 +235,10 @@
         let service = route.service_for(&request.attempt_id).ok_or(RefusalReason::NoEndpoint)?;
         let organisation_name = organisation.map_or("", |organisation| organisation.name.as_str());
         let fingerprint = suspects::fingerprint(service, &request.path, organisation_name, body);
-        if self.suspects.must_refuse(now, fingerprint) {
-            return Err(RefusalReason::Suspect);
-        }
+        let prompt = request.prompt.as_ref();
+        let shared_parts =
+            prompt.map_or_else(Vec::new, |prompt| prompt_suspects::shared_parts(service, prompt));
+        self.check_suspects(now, fingerprint, &shared_parts)?;
         let quota = organisation.and_then(|organisation| organisation.quota);
         let quota_units =
             quota.map_or(0.0, |quota| quota::request_units(&quota, request.prompt.as_ref()));
@@ -261,6 +268,7 @@
             max_attempts: route.max_attempts.max(1),
             prompt: request.prompt.clone(),
             fingerprint,
+            shared_parts,
             tried: Vec::new(),
             possible_runs: 0,
             quota_units,
@@ -270,9 +278,26 @@
         })
     }
 
+    /// Fails if a request is known to crash endpoints, by itself or by a part of its prompt.
+    fn check_suspects(
+        &self,
+        now: Duration,
+        request: Fingerprint,
+        parts: &[PartHash],
+    ) -> Result<(), RefusalReason> {
+        if self.suspects.must_refuse(now, request) {
+            return Err(RefusalReason::Suspect);
+        }
+        if self.prompt_suspects.must_refuse(now, parts) {
+            return Err(RefusalReason::SuspectPart);
+        }
+        Ok(())
+    }
+
     /// Selects the endpoint of the next attempt and counts the attempt as sent.
     ///
-    /// Fails if the deadline has passed, no endpoint is left, or the retry budget is spent.
+    /// Fails if the deadline has passed, the request crashes endpoints, no endpoint is left, or the
+    /// retry budget is spent.
     pub fn next_target(
         &mut self,
         now: Duration,
@@ -281,6 +306,7 @@
         if admitted.time_left(now).is_zero() {
             return Err(RefusalReason::Expired);
         }
+        self.check_suspects(now, admitted.fingerprint, &admitted.shared_parts)?;
         let criteria = SelectionCriteria {
             service: &admitted.service,
             prompt: admitted.prompt.as_ref(),
@@ -351,6 +377,9 @@
         self.record_generation(now, admitted);
         self.endpoints.on_ended(&target.id);
         self.suspects.on_finished(now, admitted.fingerprint);
+        if admitted.prompt.is_some() {
+            self.prompt_suspects.on_finished(now, &admitted.shared_parts);
+        }
         self.endpoints.on_success(&target.id)
     }
 
@@ -379,6 +408,11 @@
             Outcome::Broken => {
                 let endpoint = suspects::endpoint_hash(&target.id, target.process_start_ms);
                 self.suspects.on_connection_break(now, admitted.fingerprint, endpoint);
+                if !had_first_event {
+                    let parts = &admitted.shared_parts;
+                    let request = admitted.fingerprint;
+                    self.prompt_suspects.on_connection_break(parts, endpoint, request, now);
+                }
                 self.endpoints.on_failure(now, &target.id)
             }
             Outcome::Failed => {
@@ -444,5 +478,6 @@
             }
         }
         self.suspects.set_peer_histories(now, self.peers.suspects());
+        self.prompt_suspects.set_peer_histories(now, self.peers.prompt_suspects());
     }
 }
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod lease;
 pub mod peers;
 pub mod prompt_speed;
+pub mod prompt_suspects;
 pub mod quota;
 pub mod refusal;
 pub mod release;
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -11,6 +11,7 @@
 use crate::arrivals::ArrivalRates;
 use crate::endpoints::{EndpointId, Load};
 use crate::prompt_speed::PromptSamples;
+use crate::prompt_suspects::{PartBreak, PartHash, PartHistory};
 use crate::quota::PeerDemand;
 use crate::report_schedule::{self, Schedule};
 use crate::suspects::{Fingerprint, RequestHistory};
@@ -296,6 +297,27 @@
         suspects
     }
 
+    /// Observations of the other gateways on parts of prompts that may crash endpoints.
+    pub fn prompt_suspects(&self) -> HashMap<PartHash, Vec<PartHistory>> {
+        let mut suspects: HashMap<PartHash, Vec<PartHistory>> = HashMap::new();
+        for peer in self.peers.values() {
+            let at =
+                |age_ms: u32| peer.heard_at.saturating_sub(Duration::from_millis(age_ms.into()));
+            for each in &peer.report.prompt_suspects {
+                let breaks = each.breaks.iter().map(|each| PartBreak {
+                    endpoint: each.endpoint,
+                    request: each.request,
+                    at: at(each.age_ms),
+                });
+                suspects.entry(each.part).or_default().push(PartHistory {
+                    breaks: breaks.collect(),
+                    finished_at: each.finished_age_ms.map(at),
+                });
+            }
+        }
+        suspects
+    }
+
     /// Converts our time of day to the median of all live gateways' clocks.
     pub fn median_unix_time(&self, now: Duration, unix_time: Duration) -> Duration {
         let wall_ms = unix_time.as_millis() as i64 + self.clock_correction_ms(now);
@@ -326,6 +348,7 @@
     report.demands = last.demands.clone();
     report.arrivals = std::mem::take(&mut last.arrivals);
     report.suspects = std::mem::take(&mut last.suspects);
+    report.prompt_suspects = std::mem::take(&mut last.prompt_suspects);
     let elapsed_ms = now.saturating_sub(known.heard_at).as_millis() as u32;
     for suspect in &mut report.suspects {
         let breaks = suspect.breaks.iter_mut().map(|each| &mut each.age_ms);
@@ -333,6 +356,12 @@
             *age_ms = age_ms.saturating_add(elapsed_ms);
         }
     }
+    for suspect in &mut report.prompt_suspects {
+        let breaks = suspect.breaks.iter_mut().map(|each| &mut each.age_ms);
+        for age_ms in breaks.chain(suspect.finished_age_ms.as_mut()) {
+            *age_ms = age_ms.saturating_add(elapsed_ms);
+        }
+    }
 }
 
 fn decode_samples(samples: &gossip::PromptSamples) -> PromptSamples {
--- a/forwarding/src/refusal.rs
+++ b/forwarding/src/refusal.rs
@@ -30,6 +30,9 @@
     /// The request has crashed several endpoints.
     #[display("the request has crashed endpoints")]
     Suspect,
+    /// Requests with a part of its prompt have crashed several endpoints.
+    #[display("a part of the prompt has crashed endpoints")]
+    SuspectPart,
     /// The service has no endpoint left to try.
     #[display("the service has no endpoint left to try")]
     NoEndpoint,
@@ -54,7 +57,7 @@
             RefusalReason::NoRoute | RefusalReason::UnknownKey => None,
             RefusalReason::OverQuota(shortage) => Some(shortage.wait),
             RefusalReason::Full { wait } => Some(*wait),
-            RefusalReason::Suspect => Some(SUSPECT_RETRY_AFTER),
+            RefusalReason::Suspect | RefusalReason::SuspectPart => Some(SUSPECT_RETRY_AFTER),
             RefusalReason::Stopping => Some(Duration::ZERO),
             RefusalReason::NoRelease | RefusalReason::NoEndpoint | RefusalReason::Expired => {
                 Some(UNAVAILABLE_RETRY_AFTER)
--- a/forwarding/tests/dispatcher.rs
+++ b/forwarding/tests/dispatcher.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use forwarding::dispatcher::{AdmittedRequest, Dispatcher, Outcome};
+use forwarding::dispatcher::{AdmittedRequest, Dispatcher, Outcome, Target};
 use forwarding::endpoints::Entry;
 use forwarding::refusal::RefusalReason;
 use support::{MODEL_SERVICE, PLAIN_SERVICE, entry, ms, prompt, release, request, settings};
@@ -181,3 +181,32 @@
     );
     assert!(admitted.tried.is_empty());
 }
+
+/// Guards against requests of one kind that crash back ends one after the other.
+#[test]
+fn part_of_prompts_that_crashes_endpoints_is_refused_and_sound_prompts_are_not() {
+    const DEADLY_PART: u64 = 77;
+    let with_part = |id: u64, part: u64| {
+        let mut request = request(&format!("a{id}"), "/write/1");
+        let mut prompt = prompt(part, 100);
+        prompt.parts.last_mut().unwrap().id += id;
+        request.prompt = Some(prompt);
+        request
+    };
+    let mut dispatcher = dispatcher();
+    for id in 0..3 {
+        let body = format!("body {id}");
+        let deadly = with_part(id, DEADLY_PART);
+        let mut admitted = dispatcher.admit(ms(id), &deadly, body.as_bytes()).unwrap();
+        let target = dispatcher.next_target(ms(id), &mut admitted).unwrap();
+        let restarted = Target { process_start_ms: id, ..target };
+        dispatcher.on_failed(ms(id + 5), &mut admitted, &restarted, Outcome::Broken, false);
+        let mut admitted = dispatcher.admit(ms(id), &with_part(id, id), b"sound").unwrap();
+        let target = dispatcher.next_target(ms(id + 5), &mut admitted).unwrap();
+        dispatcher.on_answered(ms(id + 6), &admitted, &target);
+    }
+    let refused = dispatcher.admit(ms(20), &with_part(9, DEADLY_PART), b"unlike the others");
+    assert_eq!(refused.unwrap_err(), RefusalReason::SuspectPart);
+    let sound = dispatcher.admit(ms(20), &with_part(9, 5), b"unlike the others");
+    assert!(sound.is_ok(), "same key and first part: {sound:?}");
+}
--- /dev/null
+++ b/forwarding/tests/prompt_suspects.rs
@@ -0,0 +1,116 @@
+//! Detection of parts of prompts that crash endpoints, in one gateway and in simulated fleets.
+
+mod support;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use forwarding::prompt_suspects::{PartBreak, PartHistory, PromptSuspects};
+use support::fleet_load::{Counts, Load};
+use support::ms;
+
+const PART: u64 = 7;
+const OTHER_PART: u64 = 8;
+
+/// Retries and new requests with a part that crashes endpoints which may still reach endpoints once
+/// all gateways have had time to learn of the fifth crash.
+const MAX_LATE_DEADLY: u32 = 3;
+
+/// Time in which all gateways learn of a crash.
+const CONTACT_DELAY: Duration = Duration::from_secs(3);
+
+fn break_of(endpoint: u64, request: u64, at_ms: u64) -> PartBreak {
+    PartBreak { endpoint, request, at: ms(at_ms) }
+}
+
+fn suspects_after(breaks: &[PartBreak]) -> PromptSuspects {
+    let mut suspects = PromptSuspects::default();
+    for each in breaks {
+        suspects.on_connection_break(&[PART], each.endpoint, each.request, each.at);
+    }
+    suspects.on_finished(ms(100), &[OTHER_PART]);
+    suspects
+}
+
+#[test]
+fn refuses_part_under_which_distinct_requests_broke_distinct_endpoints() {
+    let suspects = suspects_after(&[break_of(1, 11, 0), break_of(2, 12, 5)]);
+    assert!(!suspects.must_refuse(ms(100), &[PART]));
+    let suspects = suspects_after(&[break_of(1, 11, 0), break_of(2, 12, 5), break_of(3, 13, 9)]);
+    assert!(suspects.must_refuse(ms(100), &[OTHER_PART, PART]));
+    assert!(!suspects.must_refuse(ms(100), &[OTHER_PART]));
+    assert!(!suspects.must_refuse(ms(700_000), &[PART]), "expired breaks must not count");
+}
+
+#[test]
+fn one_request_or_one_endpoint_does_not_suffice() {
+    let repeated: Vec<PartBreak> =
+        (0..6).map(|endpoint| break_of(endpoint, 11, endpoint)).collect();
+    assert!(!suspects_after(&repeated).must_refuse(ms(100), &[PART]), "repetitions of one request");
+    let faulty: Vec<PartBreak> = (0..6).map(|request| break_of(1, request, request)).collect();
+    assert!(!suspects_after(&faulty).must_refuse(ms(100), &[PART]), "one faulty endpoint");
+}
+
+#[test]
+fn completion_at_any_gateway_clears_earlier_breaks() {
+    let breaks = [break_of(1, 11, 0), break_of(2, 12, 5), break_of(3, 13, 9)];
+    let mut suspects = suspects_after(&breaks);
+    let finished = PartHistory { breaks: Vec::new(), finished_at: Some(ms(50)) };
+    suspects.set_peer_histories(ms(60), HashMap::from([(PART, vec![finished])]));
+    assert!(!suspects.must_refuse(ms(100), &[PART]));
+    suspects.set_peer_histories(ms(70_000), HashMap::new());
+    assert!(!suspects.must_refuse(ms(70_000), &[PART]), "cleared breaks must not come back");
+}
+
+/// Guards against forgetting a part when the gateways that saw its crashes restart.
+#[test]
+fn verdict_outlasts_the_gateways_that_observed_the_crashes() {
+    let mut suspects = PromptSuspects::default();
+    suspects.on_finished(ms(0), &[OTHER_PART]);
+    let seen = |endpoint| PartHistory {
+        breaks: vec![break_of(endpoint, 10 + endpoint, 5)],
+        finished_at: None,
+    };
+    let histories = HashMap::from([(PART, vec![seen(1), seen(2), seen(3)])]);
+    suspects.set_peer_histories(ms(20), histories.clone());
+    suspects.on_finished(ms(30), &[OTHER_PART]);
+    suspects.set_peer_histories(ms(40), histories);
+    suspects.set_peer_histories(ms(20_000), HashMap::new());
+    assert!(suspects.must_refuse(ms(20_000), &[PART]));
+    assert_eq!(suspects.to_report()[0].1.breaks.len(), 3);
+}
+
+/// Guards against requests of one kind that crash back ends one after the other.
+#[test]
+fn deadly_part_is_refused_by_all_gateways_and_its_neighbours_are_not() {
+    for (gateways, endpoints, requests_per_s, seeds) in
+        [(3, 6, 40, 1..=6), (8, 9, 100, 1..=6), (74, 60, 600, 1..=1)]
+    {
+        for seed in seeds {
+            let mut load = Load::new(seed, gateways, endpoints, requests_per_s);
+            load.run(Duration::from_secs(2), false);
+            load.run(Duration::from_secs(8), true);
+            let Counts { sound, sound_refused, .. } = load.counts;
+            let late = load.deadly_sent_after_crash(5, CONTACT_DELAY);
+            let what = format!("{gateways} gateways, seed {seed}: {:?}", load.counts);
+            assert!(load.counts.deadly_refused > 0, "{what}");
+            assert!(late <= MAX_LATE_DEADLY, "{late} sent late, {what}");
+            assert!(sound_refused * 100 <= sound, "{what}");
+        }
+    }
+}
+
+/// Guards against refusing prompts because all endpoints of a service crashed at once.
+#[test]
+fn outage_of_all_endpoints_makes_no_part_suspect() {
+    for seed in 1..=4 {
+        let mut load = Load::new(seed, 8, 9, 100);
+        load.run(Duration::from_secs(3), false);
+        for _ in 0..4 {
+            load.crash_all();
+            load.run(Duration::from_secs(4), false);
+        }
+        let Counts { sound, sound_refused, .. } = load.counts;
+        assert!(sound_refused * 100 <= sound, "seed {seed}: {:?}", load.counts);
+    }
+}
--- a/forwarding/tests/support/mod.rs
+++ b/forwarding/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Test values shared by several tests.
 #![allow(dead_code)]
 
+pub(crate) mod fleet_load;
+
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -1,5 +1,6 @@
 //! Contents of the reports that gateways exchange as datagrams, and their application.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -7,6 +8,7 @@
 use forwarding::dispatcher::Dispatcher;
 use forwarding::endpoints::{Change, Endpoint, EndpointTable, Entry};
 use forwarding::prompt_speed::PromptSamples;
+use forwarding::prompt_suspects::PartHash;
 use platform::store::{self, StoreClient};
 use prost::Message;
 use rhubarbrock_schema::gossip;
@@ -64,6 +66,7 @@
     let mut reporter = Reporter::default();
     let mut send_at = time::Instant::now();
     let mut apply_at = send_at;
+    let mut refused_parts = BTreeSet::new();
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
@@ -76,6 +79,7 @@
             }
             () = time::sleep_until(apply_at) => {
                 context.dispatcher().on_peer_reports(context.now());
+                log_refused_parts(&context, &mut refused_parts);
                 remove_expired_connections(&context);
                 let interval = reporter::schedule(&context.dispatcher()).duties.mul_f64(APPLY_INTERVAL_SHARE);
                 apply_at = time::Instant::now() + interval.max(MIN_APPLY_INTERVAL);
@@ -84,6 +88,19 @@
     }
 }
 
+/// Logs which parts of prompts are refused from now on, and which no longer.
+fn log_refused_parts(context: &Context, known: &mut BTreeSet<PartHash>) {
+    let refused = context.dispatcher().prompt_suspects.refused_parts(context.now());
+    metrics::gauge!("gateway_refused_prompt_parts").set(refused.len() as f64);
+    for part in refused.difference(known) {
+        warn!(context.logger, "prompt part refused"; "part" => format!("{part:016x}"));
+    }
+    for part in known.difference(&refused) {
+        info!(context.logger, "prompt part admitted again"; "part" => format!("{part:016x}"));
+    }
+    *known = refused;
+}
+
 fn remove_expired_connections(context: &Context) {
     for id in context.pool.remove_expired() {
         let is_known = {
@@ -180,6 +197,16 @@
         gossip::Suspect { fingerprint, breaks: breaks.collect(), finished_age_ms }
     });
     let suspects = suspects.collect();
+    let prompt_suspects = dispatcher.prompt_suspects.to_report().into_iter().map(|(part, seen)| {
+        let breaks = seen.breaks.iter().map(|each| gossip::PartBreak {
+            endpoint: each.endpoint,
+            request: each.request,
+            age_ms: age_ms(each.at),
+        });
+        let finished_age_ms = seen.finished_at.map(age_ms);
+        gossip::PromptSuspect { part, breaks: breaks.collect(), finished_age_ms }
+    });
+    let prompt_suspects = prompt_suspects.collect();
     let is_reader = dispatcher.store_role.is_reader();
     let store_age = dispatcher.store_answer_times.age(now);
     gossip::Report {
@@ -202,6 +229,7 @@
         endpoints_hash: dispatcher.endpoints.hash(),
         store_age_ms: store_age.map_or(u32::MAX, |age| age.as_millis() as u32),
         suspects,
+        prompt_suspects,
         interval_ms: 0,
         data_centre: dispatcher.settings.data_centre.clone(),
         is_brief: false,
--- a/gateway/src/reporter.rs
+++ b/gateway/src/reporter.rs
@@ -125,6 +125,7 @@
                 demands: Vec::new(),
                 arrivals: Vec::new(),
                 suspects: Vec::new(),
+                prompt_suspects: Vec::new(),
                 is_brief: true,
                 interval_ms: stated(schedule.brief),
                 ..full
