Admit a suspected part without the suspect that it always broke beside

Cause: two parts that always break together look alike, and a refused part gets no chance to finish. A request with only one of them is now admitted; its outcome tells which of the two is to blame.

Test: part_that_broke_only_beside_another_suspect_is_admitted_without_it and part_that_broke_without_the_other_suspects_is_refused_alone failed before.

--- a/forwarding/src/prompt_suspects.rs
+++ b/forwarding/src/prompt_suspects.rs
@@ -185,29 +185,60 @@
     }
 
     /// Whether a request with these parts is to be refused.
+    ///
+    /// A part that broke only beside another suspect is admitted without that one: the outcome tells
+    /// which of them is to blame.
     pub fn must_refuse(&self, now: Duration, parts: &[PartHash]) -> bool {
-        parts.iter().any(|&part| self.must_refuse_part(now, part))
+        parts.iter().any(|&part| {
+            self.must_refuse_part(now, part) && !self.has_other_cause(now, part, parts)
+        })
+    }
+
+    /// Whether a suspect outside of a request's parts broke whenever `part` did.
+    fn has_other_cause(&self, now: Duration, part: PartHash, request_parts: &[PartHash]) -> bool {
+        let breaks = self.counted_breaks(now, part);
+        let others = self.own.keys().chain(self.peers.keys()).copied();
+        let mut others = others.filter(|other| !request_parts.contains(other));
+        others.any(|other| {
+            let other_breaks = self.counted_breaks(now, other);
+            let is_beside = |each: &PartBreak| {
+                let mut known = other_breaks.iter();
+                known.any(|known| (known.endpoint, known.request) == (each.endpoint, each.request))
+            };
+            breaks.iter().all(is_beside) && self.must_refuse_part(now, other)
+        })
+    }
+
+    /// Time of the last known completion of a request with a part.
+    fn finished_at(&self, part: PartHash) -> Option<Duration> {
+        let reported = self.histories(part).filter_map(|history| history.finished_at);
+        reported.chain(self.finished.get(&part).copied()).max()
+    }
+
+    /// Breaks after the last completion.
+    fn counted_breaks(&self, now: Duration, part: PartHash) -> Vec<PartBreak> {
+        let finished_at = self.finished_at(part);
+        let breaks = self.histories(part).flat_map(|history| &history.breaks).copied();
+        let counted = breaks.filter(|each| {
+            now < each.at + REFUSED_RETENTION && finished_at.is_none_or(|at| each.at > at)
+        });
+        counted.collect()
+    }
+
+    fn histories(&self, part: PartHash) -> impl Iterator<Item = &PartHistory> {
+        self.peers.get(&part).into_iter().flatten().chain(self.own.get(&part))
     }
 
     fn must_refuse_part(&self, now: Duration, part: PartHash) -> bool {
-        let peers = self.peers.get(&part).into_iter().flatten();
-        let all: Vec<&PartHistory> = peers.chain(self.own.get(&part)).collect();
-        let finished_at = all.iter().filter_map(|history| history.finished_at);
-        let finished_at = finished_at.chain(self.finished.get(&part).copied()).max();
-        let counted = || {
-            let breaks = all.iter().flat_map(|history| &history.breaks);
-            breaks.filter(|each| {
-                now < each.at + REFUSED_RETENTION && finished_at.is_none_or(|at| each.at > at)
-            })
-        };
-        let endpoints: BTreeSet<EndpointHash> = counted().map(|each| each.endpoint).collect();
-        let requests: BTreeSet<Fingerprint> = counted().map(|each| each.request).collect();
+        let counted = self.counted_breaks(now, part);
+        let endpoints: BTreeSet<EndpointHash> = counted.iter().map(|each| each.endpoint).collect();
+        let requests: BTreeSet<Fingerprint> = counted.iter().map(|each| each.request).collect();
         if endpoints.len().min(requests.len()) < BREAKS_TO_REFUSE {
             return false;
         }
-        let first = counted().map(|each| each.at).min().unwrap_or_default();
-        let last = counted().map(|each| each.at).max().unwrap_or_default();
-        let was_sound = finished_at.is_some_and(|at| first < at + SOUND_RETENTION);
+        let first = counted.iter().map(|each| each.at).min().unwrap_or_default();
+        let last = counted.iter().map(|each| each.at).max().unwrap_or_default();
+        let was_sound = self.finished_at(part).is_some_and(|at| first < at + SOUND_RETENTION);
         let completions_before = self.completions_before.get(&part).copied();
         let others = self.completions - completions_before.unwrap_or(self.completions);
         match was_sound {
--- a/forwarding/tests/prompt_suspects.rs
+++ b/forwarding/tests/prompt_suspects.rs
@@ -84,7 +84,7 @@
 #[test]
 fn deadly_part_is_refused_by_all_gateways_and_its_neighbours_are_not() {
     for (gateways, endpoints, requests_per_s, seeds) in
-        [(3, 6, 40, 1..=6), (8, 9, 100, 1..=6), (74, 60, 600, 1..=1)]
+        [(3, 6, 40, 1..=6), (8, 9, 100, 1..=6), (74, 60, 600, 1..=2)]
     {
         for seed in seeds {
             let mut load = Load::new(seed, gateways, endpoints, requests_per_s);
@@ -96,6 +96,7 @@
             assert!(load.counts.deadly_refused > 0, "{what}");
             assert!(late <= MAX_LATE_DEADLY, "{late} sent late, {what}");
             assert!(sound_refused * 100 <= sound, "{what}");
+            assert_eq!(load.counts.companion_refused, 0, "{what}");
         }
     }
 }
@@ -114,3 +115,32 @@
         assert!(sound_refused * 100 <= sound, "seed {seed}: {:?}", load.counts);
     }
 }
+
+/// Guards against refusing sound requests that share a rare part with the deadly ones.
+#[test]
+fn part_that_broke_only_beside_another_suspect_is_admitted_without_it() {
+    let mut suspects = PromptSuspects::default();
+    for index in 0..3 {
+        suspects.on_connection_break(&[OTHER_PART, PART], index, 10 + index, ms(index));
+    }
+    suspects.on_finished(ms(50), &[]);
+    assert!(suspects.must_refuse(ms(60), &[OTHER_PART, PART]));
+    assert!(!suspects.must_refuse(ms(60), &[OTHER_PART]), "may be sound");
+    // The other part turns out to be sound, this one to be deadly.
+    suspects.on_finished(ms(70), &[OTHER_PART]);
+    assert!(suspects.must_refuse(ms(80), &[PART]));
+    assert!(suspects.must_refuse(ms(80), &[OTHER_PART, PART]));
+}
+
+#[test]
+fn part_that_broke_without_the_other_suspects_is_refused_alone() {
+    let mut suspects = PromptSuspects::default();
+    for index in 0..3 {
+        suspects.on_connection_break(&[OTHER_PART, PART], index, 10 + index, ms(index));
+    }
+    suspects.on_finished(ms(50), &[]);
+    assert!(!suspects.must_refuse(ms(60), &[PART]));
+    suspects.on_connection_break(&[PART], 5, 15, ms(65));
+    assert!(suspects.must_refuse(ms(70), &[PART]));
+    assert!(!suspects.must_refuse(ms(70), &[OTHER_PART]));
+}
--- a/forwarding/tests/support/fleet_load.rs
+++ b/forwarding/tests/support/fleet_load.rs
@@ -2,7 +2,8 @@
 //!
 //! Requests have a first part out of four, a second one out of several hundred,
 //! and one of their own. A deadly request has a further part, and crashes its
-//! endpoint when it would get its first event.
+//! endpoint when it would get its first event. With even seeds, the second part
+//! of all deadly requests is the same.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -16,6 +17,8 @@
 const APPLY_INTERVAL: Duration = Duration::from_millis(180);
 const RESTART_TIME: Duration = Duration::from_secs(3);
 const DEADLY_PART: PartHash = 99_999;
+/// Second part of all deadly requests in some simulations, and of a few sound ones.
+const COMPANION_PART: PartHash = 100;
 const DEADLY_PERCENT: u64 = 5;
 const LOST_REPORTS_PERCENT: u64 = 10;
 const ATTEMPTS: u32 = 2;
@@ -25,6 +28,8 @@
     pub(crate) sound: u32,
     pub(crate) sound_refused: u32,
     pub(crate) deadly_refused: u32,
+    /// Sound requests with the companion of the deadly part, refused long after the crashes.
+    pub(crate) companion_refused: u32,
 }
 
 #[derive(Debug, Clone)]
@@ -62,6 +67,7 @@
     crashes: Vec<Duration>,
     deadly_sent: Vec<Duration>,
     requests_per_s: u64,
+    has_companion: bool,
     now: Duration,
     random: u64,
 }
@@ -77,6 +83,7 @@
             crashes: Vec::new(),
             deadly_sent: Vec::new(),
             requests_per_s,
+            has_companion: seed.is_multiple_of(2),
             now: Duration::ZERO,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         }
@@ -116,18 +123,24 @@
     }
 
     fn arrive(&mut self, has_deadly: bool) {
-        let mut parts = vec![self.below(4), 100 + self.below(372)];
+        let mut parts = vec![self.below(4), COMPANION_PART + self.below(372)];
         let is_deadly = has_deadly && self.below(100) < DEADLY_PERCENT;
         if is_deadly {
+            if self.has_companion {
+                parts[1] = COMPANION_PART;
+            }
             parts.push(DEADLY_PART);
         }
         let gateway = self.below(self.gateways.len() as u64) as usize;
         let fingerprint = self.below(u64::MAX);
+        let may_crash = self.crashes.get(4).is_none_or(|&at| self.now < at + ms(4_000));
+        let is_beside_deadly = !is_deadly && parts.contains(&COMPANION_PART);
         if self.gateways[gateway].must_refuse(self.now, &parts) {
             match is_deadly {
                 true => self.counts.deadly_refused += 1,
                 false => self.counts.sound_refused += 1,
             }
+            self.counts.companion_refused += u32::from(is_beside_deadly && !may_crash);
         } else {
             self.send(gateway, parts, fingerprint, 1);
         }
