Blame a prompt part only while other requests of its service finish

Cause: completions of other requests counted until now and over all services, so one completion elsewhere turned an outage into a verdict. They now count per service and between the first and the last break of the part, and must be at least as many as the other requests that broke. Gateways that see too little for that themselves take over the verdict of one that does, as a flag in the reports.

Test: crash_loop_of_a_service_makes_no_part_suspect, which replaces outage_of_all_endpoints_makes_no_part_suspect: that one let completions go on between crashes, its load was the milder one.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -8,7 +8,7 @@
 use crate::arrivals::{ArrivalMeter, ArrivalRates};
 use crate::endpoints::{EndpointId, EndpointTable};
 use crate::peers::Peers;
-use crate::prompt_suspects::{self, PartHash, PromptSuspects};
+use crate::prompt_suspects::{PromptSuspects, SharedParts};
 use crate::quota::{self, Accounts};
 use crate::refusal::{RefusalReason, UNAVAILABLE_RETRY_AFTER};
 use crate::release::{Release, RouteKind};
@@ -86,7 +86,7 @@
     /// Hash by which repetitions are recognised.
     pub fingerprint: Fingerprint,
     /// Parts of its prompt that other requests may share.
-    pub shared_parts: Vec<PartHash>,
+    pub shared_parts: SharedParts,
     /// Endpoints that it was sent to, in order.
     pub tried: Vec<EndpointId>,
     /// Number of endpoints that may have run it.
@@ -237,7 +237,7 @@
         let fingerprint = suspects::fingerprint(service, &request.path, organisation_name, body);
         let prompt = request.prompt.as_ref();
         let shared_parts =
-            prompt.map_or_else(Vec::new, |prompt| prompt_suspects::shared_parts(service, prompt));
+            prompt.map(|prompt| SharedParts::new(service, prompt)).unwrap_or_default();
         self.check_suspects(now, fingerprint, &shared_parts)?;
         let quota = organisation.and_then(|organisation| organisation.quota);
         let quota_units =
@@ -283,7 +283,7 @@
         &self,
         now: Duration,
         request: Fingerprint,
-        parts: &[PartHash],
+        parts: &SharedParts,
     ) -> Result<(), RefusalReason> {
         if self.suspects.must_refuse(now, request) {
             return Err(RefusalReason::Suspect);
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -312,6 +312,7 @@
                 suspects.entry(each.part).or_default().push(PartHistory {
                     breaks: breaks.collect(),
                     finished_at: each.finished_age_ms.map(at),
+                    is_refused: each.is_refused,
                 });
             }
         }
--- a/forwarding/src/prompt_suspects.rs
+++ b/forwarding/src/prompt_suspects.rs
@@ -2,18 +2,21 @@
 //!
 //! Requests with such a part differ in everything else, and the other parts occur
 //! in sound requests too. A crash also breaks the requests that the endpoint
-//! runs beside the one that caused it. A part is therefore refused only after
-//! several requests with it broke before their first event, at several
-//! endpoints, while other requests finished and none with this part did.
-//! Gateways share their observations, and take over those that suffice, so that
-//! they outlast the gateway that made them.
+//! runs beside the one that caused it, and in an outage of a service all requests
+//! break. A part is therefore refused only after several requests with it broke
+//! before their first event, at several endpoints, while more other requests of
+//! the service finished than broke, and none with this part did.
+//!
+//! Gateways share their observations. A part that one of them refuses is refused
+//! by all, also after the gateways that saw its crashes are gone.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use xxhash_rust::xxh3;
 
-use crate::request::Prompt;
+use crate::request::{Prompt, PromptPart};
 use crate::suspects::{EndpointHash, Fingerprint};
 
 /// Hash of a service and of a part of a prompt.
@@ -37,9 +40,8 @@
 /// meantime, a completion at any gateway is reported to all.
 const SOUND_GRACE: Duration = Duration::from_secs(2);
 
-/// Completions of other requests in that period, without which an outage of the service would
-/// count against the part.
-const OTHER_COMPLETIONS: u64 = 20;
+/// Completions of other requests between the first and the last break, for a part that was sound.
+const SOUND_OTHER_COMPLETIONS: u64 = 20;
 
 /// Maximum number of parts that are remembered, of each kind.
 const MAX_PARTS: usize = 1_024;
@@ -50,12 +52,29 @@
 /// Maximum number of breaks that are remembered of one part.
 const MAX_BREAKS: usize = 8;
 
-/// Hashes of the parts that a prompt shares with other prompts. The last part is its own.
-pub fn shared_parts(service: &str, prompt: &Prompt) -> Vec<PartHash> {
-    let shared = prompt.parts.len().saturating_sub(1);
-    let service = xxh3::xxh3_64(service.as_bytes());
-    let parts = prompt.parts[..shared].iter();
-    parts.map(|part| xxh3::xxh3_64_with_seed(&part.id.to_le_bytes(), service)).collect()
+/// Hash of a service.
+type ServiceHash = u64;
+
+/// Parts that a prompt shares with other prompts of a service. Its last part is its own.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SharedParts {
+    service: ServiceHash,
+    parts: Vec<PartHash>,
+}
+
+impl SharedParts {
+    /// Parts of `prompt`, a request to `service`.
+    pub fn new(service: &str, prompt: &Prompt) -> SharedParts {
+        let shared = prompt.parts.len().saturating_sub(1);
+        let service = xxh3::xxh3_64(service.as_bytes());
+        let hash = |part: &PromptPart| xxh3::xxh3_64_with_seed(&part.id.to_le_bytes(), service);
+        SharedParts { service, parts: prompt.parts[..shared].iter().map(hash).collect() }
+    }
+
+    /// Hashes of the parts, in order.
+    pub fn hashes(&self) -> &[PartHash] {
+        &self.parts
+    }
 }
 
 /// Connection to an endpoint that broke before the first event of a request.
@@ -76,6 +95,8 @@
     pub breaks: Vec<PartBreak>,
     /// Time of the last completion of a request with the part.
     pub finished_at: Option<Duration>,
+    /// Whether the gateway refuses the part.
+    pub is_refused: bool,
 }
 
 impl PartHistory {
@@ -87,12 +108,33 @@
     fn add(&mut self, new: PartBreak) {
         let is_same =
             |known: &PartBreak| known.endpoint == new.endpoint && known.request == new.request;
-        if !self.breaks.iter().any(is_same) && self.breaks.len() < MAX_BREAKS {
-            self.breaks.push(new);
+        if self.breaks.iter().any(is_same) {
+            return;
+        }
+        if self.breaks.len() == MAX_BREAKS {
+            self.breaks.remove(0);
         }
+        self.breaks.push(new);
     }
 }
 
+/// Requests of a service at this gateway that finished, and that broke before their first event.
+#[derive(Debug, Clone, Copy, Default)]
+struct Outcomes {
+    finished: u64,
+    broken: u64,
+}
+
+/// Outcomes of the service's requests between the first and the latest break of a part.
+#[derive(Debug, Clone, Copy)]
+struct Period {
+    service: ServiceHash,
+    start: Outcomes,
+    end: Outcomes,
+    /// Number of breaks known at the end.
+    breaks: usize,
+}
+
 /// Observations of this gateway and of the others.
 #[derive(Debug, Default)]
 pub struct PromptSuspects {
@@ -100,10 +142,9 @@
     peers: HashMap<PartHash, Vec<PartHistory>>,
     /// Last completions at this gateway.
     finished: HashMap<PartHash, Duration>,
-    /// Number of requests that finished at this gateway.
-    completions: u64,
-    /// That number when a part was first suspected, or last finished.
-    completions_before: HashMap<PartHash, u64>,
+    outcomes: HashMap<ServiceHash, Outcomes>,
+    /// Periods of the parts with breaks at this gateway.
+    periods: HashMap<PartHash, Period>,
 }
 
 impl PromptSuspects {
@@ -111,29 +152,33 @@
     /// these parts.
     pub fn on_connection_break(
         &mut self,
-        parts: &[PartHash],
+        shared: &SharedParts,
         endpoint: EndpointHash,
         request: Fingerprint,
         at: Duration,
     ) {
-        for &part in parts {
-            let history = self.own.entry(part).or_default();
-            history.add(PartBreak { endpoint, request, at });
-            self.completions_before.entry(part).or_insert(self.completions);
+        let outcomes = self.outcomes.entry(shared.service).or_default();
+        outcomes.broken += 1;
+        let start = *outcomes;
+        for &part in &shared.parts {
+            self.own.entry(part).or_default().add(PartBreak { endpoint, request, at });
+            let period = Period { service: shared.service, start, end: start, breaks: 0 };
+            self.periods.entry(part).or_insert(period);
+            self.extend_period(at, part);
         }
         evict_oldest(&mut self.own, PartHistory::last);
     }
 
     /// Records that a request with these parts finished.
-    pub fn on_finished(&mut self, now: Duration, parts: &[PartHash]) {
-        self.completions += 1;
-        for &part in parts {
+    pub fn on_finished(&mut self, now: Duration, shared: &SharedParts) {
+        self.outcomes.entry(shared.service).or_default().finished += 1;
+        for &part in &shared.parts {
             self.finished.insert(part, now);
             let is_suspected = self.own.contains_key(&part) || self.peers.contains_key(&part);
             if is_suspected {
-                let finished = PartHistory { breaks: Vec::new(), finished_at: Some(now) };
+                let finished = PartHistory { finished_at: Some(now), ..PartHistory::default() };
                 self.own.insert(part, finished);
-                self.completions_before.insert(part, self.completions);
+                self.periods.remove(&part);
             }
         }
         evict_oldest(&mut self.finished, |&at| at);
@@ -148,28 +193,35 @@
     ) {
         self.peers = peers;
         self.apply_peer_completions();
-        let mut refused = Vec::new();
-        for &part in self.peers.keys() {
-            self.completions_before.entry(part).or_insert(self.completions);
-            if self.must_refuse_part(now, part) {
-                refused.push(part);
-            }
+        let own_parts: Vec<PartHash> = self.periods.keys().copied().collect();
+        for part in own_parts {
+            self.extend_period(now, part);
         }
-        for &part in &refused {
-            let known = self.peers[&part].iter().flat_map(|history| &history.breaks);
+        for part in self.refused_parts(now) {
+            let reported = self.peers.get(&part).into_iter().flatten();
             let own = self.own.entry(part).or_default();
-            for &each in known {
+            for &each in reported.flat_map(|history| &history.breaks) {
                 own.add(each);
             }
+            own.is_refused = true;
         }
-        let (peers, own) = (&self.peers, &mut self.own);
-        own.retain(|_, history| {
-            let is_refused = history.breaks.len() >= BREAKS_TO_REFUSE;
-            now < history.last() + if is_refused { REFUSED_RETENTION } else { RETENTION }
+        self.own.retain(|_, history| {
+            now < history.last() + if history.is_refused { REFUSED_RETENTION } else { RETENTION }
         });
-        self.completions_before
-            .retain(|part, _| own.contains_key(part) || peers.contains_key(part));
-        self.finished.retain(|_, &mut at| now < at + SOUND_RETENTION);
+        let (own, peers) = (&self.own, &self.peers);
+        let is_suspected = |part: &PartHash| own.contains_key(part) || peers.contains_key(part);
+        self.periods.retain(|part, _| own.contains_key(part));
+        self.finished.retain(|part, &mut at| now < at + SOUND_RETENTION || is_suspected(part));
+    }
+
+    /// Extends the period of a part to now if a further break became known.
+    fn extend_period(&mut self, now: Duration, part: PartHash) {
+        let breaks = self.counted_breaks(now, part).len();
+        let Some(period) = self.periods.get_mut(&part) else { return };
+        if breaks > period.breaks {
+            period.breaks = breaks;
+            period.end = self.outcomes.get(&period.service).copied().unwrap_or_default();
+        }
     }
 
     /// Clears own breaks that are older than a completion at another gateway.
@@ -178,8 +230,13 @@
             let reported = self.peers.get(part).into_iter().flatten();
             let reported = reported.filter_map(|history| history.finished_at).max();
             if let Some(finished_at) = reported.filter(|_| reported > own.finished_at) {
+                let known = own.breaks.len();
                 own.finished_at = Some(finished_at);
                 own.breaks.retain(|each| each.at > finished_at);
+                if own.breaks.len() < known {
+                    own.is_refused = false;
+                    self.periods.remove(part);
+                }
             }
         }
     }
@@ -188,7 +245,8 @@
     ///
     /// A part that broke only beside another suspect is admitted without that one: the outcome tells
     /// which of them is to blame.
-    pub fn must_refuse(&self, now: Duration, parts: &[PartHash]) -> bool {
+    pub fn must_refuse(&self, now: Duration, shared: &SharedParts) -> bool {
+        let parts = &shared.parts;
         parts.iter().any(|&part| {
             self.must_refuse_part(now, part) && !self.has_other_cause(now, part, parts)
         })
@@ -236,15 +294,23 @@
         if endpoints.len().min(requests.len()) < BREAKS_TO_REFUSE {
             return false;
         }
-        let first = counted.iter().map(|each| each.at).min().unwrap_or_default();
-        let last = counted.iter().map(|each| each.at).max().unwrap_or_default();
+        let is_refused = self.histories(part).any(|history| history.is_refused);
+        is_refused || self.is_only_cause(part, &counted)
+    }
+
+    /// Whether the requests of the service that have not this part finished, for the most part,
+    /// between its breaks.
+    fn is_only_cause(&self, part: PartHash, breaks: &[PartBreak]) -> bool {
+        let Some(period) = self.periods.get(&part) else { return false };
+        let first = breaks.iter().map(|each| each.at).min().unwrap_or_default();
+        let last = breaks.iter().map(|each| each.at).max().unwrap_or_default();
         let was_sound = self.finished_at(part).is_some_and(|at| first < at + SOUND_RETENTION);
-        let completions_before = self.completions_before.get(&part).copied();
-        let others = self.completions - completions_before.unwrap_or(self.completions);
-        match was_sound {
-            true => last >= first + SOUND_GRACE && others >= OTHER_COMPLETIONS,
-            false => others > 0,
-        }
+        let own_breaks = self.own.get(&part).map_or(0, |history| history.breaks.len()) as u64;
+        let finished = period.end.finished - period.start.finished;
+        let broken = (period.end.broken - period.start.broken).saturating_sub(own_breaks);
+        let min_finished = if was_sound { SOUND_OTHER_COMPLETIONS } else { 1 };
+        let lasts_long = last >= first + SOUND_GRACE;
+        finished >= min_finished.max(broken) && (lasts_long || !was_sound)
     }
 
     /// Parts that are refused.
@@ -253,15 +319,12 @@
         parts.filter(|&part| self.must_refuse_part(now, part)).collect()
     }
 
-    /// Own observations for a report to the other gateways: first the parts with most breaks, then
-    /// the latest.
+    /// Own observations for a report to the other gateways: first the refused parts, then the
+    /// latest.
     pub fn to_report(&self) -> Vec<(PartHash, &PartHistory)> {
         let mut rows: Vec<(PartHash, &PartHistory)> =
             self.own.iter().map(|(&part, history)| (part, history)).collect();
-        rows.sort_by_key(|&(part, history)| {
-            let is_refused = history.breaks.len() >= BREAKS_TO_REFUSE;
-            (!is_refused, std::cmp::Reverse(history.last()), part)
-        });
+        rows.sort_by_key(|&(part, history)| (!history.is_refused, Reverse(history.last()), part));
         rows.truncate(MAX_REPORTED_PARTS);
         rows
     }
--- a/forwarding/tests/prompt_suspects.rs
+++ b/forwarding/tests/prompt_suspects.rs
@@ -5,9 +5,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use forwarding::prompt_suspects::{PartBreak, PartHistory, PromptSuspects};
+use forwarding::prompt_suspects::{PartBreak, PartHash, PartHistory, PromptSuspects, SharedParts};
 use support::fleet_load::{Counts, Load};
-use support::ms;
+use support::{MODEL_SERVICE, ms};
 
 const PART: u64 = 7;
 const OTHER_PART: u64 = 8;
@@ -19,64 +19,83 @@
 /// Time in which all gateways learn of a crash.
 const CONTACT_DELAY: Duration = Duration::from_secs(3);
 
+fn parts(ids: &[u64]) -> SharedParts {
+    support::shared_parts(MODEL_SERVICE, ids)
+}
+
+fn hash(id: u64) -> PartHash {
+    parts(&[id]).hashes()[0]
+}
+
+/// Suspects of a gateway at which other requests finish.
+fn suspects() -> PromptSuspects {
+    let mut suspects = PromptSuspects::default();
+    suspects.on_finished(ms(0), &parts(&[]));
+    suspects
+}
+
 fn break_of(endpoint: u64, request: u64, at_ms: u64) -> PartBreak {
     PartBreak { endpoint, request, at: ms(at_ms) }
 }
 
 fn suspects_after(breaks: &[PartBreak]) -> PromptSuspects {
-    let mut suspects = PromptSuspects::default();
+    let mut suspects = suspects();
     for each in breaks {
-        suspects.on_connection_break(&[PART], each.endpoint, each.request, each.at);
+        suspects.on_connection_break(&parts(&[PART]), each.endpoint, each.request, each.at);
+        suspects.on_finished(each.at, &parts(&[OTHER_PART]));
     }
-    suspects.on_finished(ms(100), &[OTHER_PART]);
     suspects
 }
 
 #[test]
 fn refuses_part_under_which_distinct_requests_broke_distinct_endpoints() {
     let suspects = suspects_after(&[break_of(1, 11, 0), break_of(2, 12, 5)]);
-    assert!(!suspects.must_refuse(ms(100), &[PART]));
+    assert!(!suspects.must_refuse(ms(100), &parts(&[PART])));
     let suspects = suspects_after(&[break_of(1, 11, 0), break_of(2, 12, 5), break_of(3, 13, 9)]);
-    assert!(suspects.must_refuse(ms(100), &[OTHER_PART, PART]));
-    assert!(!suspects.must_refuse(ms(100), &[OTHER_PART]));
-    assert!(!suspects.must_refuse(ms(700_000), &[PART]), "expired breaks must not count");
+    assert!(suspects.must_refuse(ms(100), &parts(&[OTHER_PART, PART])));
+    assert!(!suspects.must_refuse(ms(100), &parts(&[OTHER_PART])));
+    assert!(!suspects.must_refuse(ms(700_000), &parts(&[PART])), "expired breaks must not count");
 }
 
 #[test]
 fn one_request_or_one_endpoint_does_not_suffice() {
     let repeated: Vec<PartBreak> =
         (0..6).map(|endpoint| break_of(endpoint, 11, endpoint)).collect();
-    assert!(!suspects_after(&repeated).must_refuse(ms(100), &[PART]), "repetitions of one request");
+    assert!(
+        !suspects_after(&repeated).must_refuse(ms(100), &parts(&[PART])),
+        "repetitions of one request"
+    );
     let faulty: Vec<PartBreak> = (0..6).map(|request| break_of(1, request, request)).collect();
-    assert!(!suspects_after(&faulty).must_refuse(ms(100), &[PART]), "one faulty endpoint");
+    assert!(!suspects_after(&faulty).must_refuse(ms(100), &parts(&[PART])), "one faulty endpoint");
 }
 
 #[test]
 fn completion_at_any_gateway_clears_earlier_breaks() {
     let breaks = [break_of(1, 11, 0), break_of(2, 12, 5), break_of(3, 13, 9)];
     let mut suspects = suspects_after(&breaks);
-    let finished = PartHistory { breaks: Vec::new(), finished_at: Some(ms(50)) };
-    suspects.set_peer_histories(ms(60), HashMap::from([(PART, vec![finished])]));
-    assert!(!suspects.must_refuse(ms(100), &[PART]));
+    let finished = PartHistory { finished_at: Some(ms(50)), ..PartHistory::default() };
+    suspects.set_peer_histories(ms(60), HashMap::from([(hash(PART), vec![finished])]));
+    assert!(!suspects.must_refuse(ms(100), &parts(&[PART])));
     suspects.set_peer_histories(ms(70_000), HashMap::new());
-    assert!(!suspects.must_refuse(ms(70_000), &[PART]), "cleared breaks must not come back");
+    assert!(
+        !suspects.must_refuse(ms(70_000), &parts(&[PART])),
+        "cleared breaks must not come back"
+    );
 }
 
 /// Guards against forgetting a part when the gateways that saw its crashes restart.
 #[test]
 fn verdict_outlasts_the_gateways_that_observed_the_crashes() {
-    let mut suspects = PromptSuspects::default();
-    suspects.on_finished(ms(0), &[OTHER_PART]);
-    let seen = |endpoint| PartHistory {
+    let mut suspects = suspects();
+    let seen = |endpoint, is_refused| PartHistory {
         breaks: vec![break_of(endpoint, 10 + endpoint, 5)],
         finished_at: None,
+        is_refused,
     };
-    let histories = HashMap::from([(PART, vec![seen(1), seen(2), seen(3)])]);
-    suspects.set_peer_histories(ms(20), histories.clone());
-    suspects.on_finished(ms(30), &[OTHER_PART]);
-    suspects.set_peer_histories(ms(40), histories);
+    let histories = vec![seen(1, false), seen(2, false), seen(3, true)];
+    suspects.set_peer_histories(ms(20), HashMap::from([(hash(PART), histories)]));
     suspects.set_peer_histories(ms(20_000), HashMap::new());
-    assert!(suspects.must_refuse(ms(20_000), &[PART]));
+    assert!(suspects.must_refuse(ms(20_000), &parts(&[PART])));
     assert_eq!(suspects.to_report()[0].1.breaks.len(), 3);
 }
 
@@ -101,46 +120,50 @@
     }
 }
 
-/// Guards against refusing prompts because all endpoints of a service crashed at once.
+/// Guards against refusing the prompts of a service because all of them broke in its outage.
 #[test]
-fn outage_of_all_endpoints_makes_no_part_suspect() {
-    for seed in 1..=4 {
-        let mut load = Load::new(seed, 8, 9, 100);
-        load.run(Duration::from_secs(3), false);
-        for _ in 0..4 {
-            load.crash_all();
-            load.run(Duration::from_secs(4), false);
+fn crash_loop_of_a_service_makes_no_part_suspect() {
+    for (gateways, endpoints, requests_per_s, seeds) in [(3, 6, 40, 1..=4), (8, 9, 100, 1..=4)] {
+        for seed in seeds {
+            let mut load = Load::new(seed, gateways, endpoints, requests_per_s);
+            load.run(Duration::from_secs(3), false);
+            load.run_crash_loop(Duration::from_secs(15));
+            load.counts = Counts::default();
+            load.run(Duration::from_secs(8), false);
+            let Counts { sound, sound_refused, .. } = load.counts;
+            let what = format!("{gateways} gateways, seed {seed}: {:?}", load.counts);
+            assert!(sound_refused * 100 <= sound, "{what}");
         }
-        let Counts { sound, sound_refused, .. } = load.counts;
-        assert!(sound_refused * 100 <= sound, "seed {seed}: {:?}", load.counts);
     }
 }
 
 /// Guards against refusing sound requests that share a rare part with the deadly ones.
 #[test]
 fn part_that_broke_only_beside_another_suspect_is_admitted_without_it() {
-    let mut suspects = PromptSuspects::default();
+    let mut suspects = suspects();
+    let both = parts(&[OTHER_PART, PART]);
     for index in 0..3 {
-        suspects.on_connection_break(&[OTHER_PART, PART], index, 10 + index, ms(index));
+        suspects.on_connection_break(&both, index, 10 + index, ms(index));
+        suspects.on_finished(ms(index), &parts(&[]));
     }
-    suspects.on_finished(ms(50), &[]);
-    assert!(suspects.must_refuse(ms(60), &[OTHER_PART, PART]));
-    assert!(!suspects.must_refuse(ms(60), &[OTHER_PART]), "may be sound");
+    assert!(suspects.must_refuse(ms(60), &parts(&[OTHER_PART, PART])));
+    assert!(!suspects.must_refuse(ms(60), &parts(&[OTHER_PART])), "may be sound");
     // The other part turns out to be sound, this one to be deadly.
-    suspects.on_finished(ms(70), &[OTHER_PART]);
-    assert!(suspects.must_refuse(ms(80), &[PART]));
-    assert!(suspects.must_refuse(ms(80), &[OTHER_PART, PART]));
+    suspects.on_finished(ms(70), &parts(&[OTHER_PART]));
+    assert!(suspects.must_refuse(ms(80), &parts(&[PART])));
+    assert!(suspects.must_refuse(ms(80), &parts(&[OTHER_PART, PART])));
 }
 
 #[test]
 fn part_that_broke_without_the_other_suspects_is_refused_alone() {
-    let mut suspects = PromptSuspects::default();
+    let mut suspects = suspects();
+    let both = parts(&[OTHER_PART, PART]);
     for index in 0..3 {
-        suspects.on_connection_break(&[OTHER_PART, PART], index, 10 + index, ms(index));
+        suspects.on_connection_break(&both, index, 10 + index, ms(index));
+        suspects.on_finished(ms(index), &parts(&[]));
     }
-    suspects.on_finished(ms(50), &[]);
-    assert!(!suspects.must_refuse(ms(60), &[PART]));
-    suspects.on_connection_break(&[PART], 5, 15, ms(65));
-    assert!(suspects.must_refuse(ms(70), &[PART]));
-    assert!(!suspects.must_refuse(ms(70), &[OTHER_PART]));
+    assert!(!suspects.must_refuse(ms(60), &parts(&[PART])));
+    suspects.on_connection_break(&parts(&[PART]), 5, 15, ms(65));
+    assert!(suspects.must_refuse(ms(70), &parts(&[PART])));
+    assert!(!suspects.must_refuse(ms(70), &parts(&[OTHER_PART])));
 }
--- a/forwarding/tests/support/fleet_load.rs
+++ b/forwarding/tests/support/fleet_load.rs
@@ -3,22 +3,23 @@
 //! Requests have a first part out of four, a second one out of several hundred,
 //! and one of their own. A deadly request has a further part, and crashes its
 //! endpoint when it would get its first event. With even seeds, the second part
-//! of all deadly requests is the same.
+//! of all deadly requests is the same. While the service is in a crash loop, every
+//! request crashes its endpoint. Requests to another service always finish.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
-use forwarding::prompt_suspects::{PartHash, PartHistory, PromptSuspects};
+use forwarding::prompt_suspects::{PartHash, PartHistory, PromptSuspects, SharedParts};
 
-use super::ms;
+use super::{MODEL_SERVICE, ms, shared_parts};
 
 const STEP: Duration = Duration::from_millis(10);
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 const APPLY_INTERVAL: Duration = Duration::from_millis(180);
 const RESTART_TIME: Duration = Duration::from_secs(3);
-const DEADLY_PART: PartHash = 99_999;
+const DEADLY_PART: u64 = 99_999;
 /// Second part of all deadly requests in some simulations, and of a few sound ones.
-const COMPANION_PART: PartHash = 100;
+const COMPANION_PART: u64 = 100;
 const DEADLY_PERCENT: u64 = 5;
 const LOST_REPORTS_PERCENT: u64 = 10;
 const ATTEMPTS: u32 = 2;
@@ -36,19 +37,14 @@
 struct Running {
     gateway: usize,
     endpoint: usize,
-    parts: Vec<PartHash>,
+    parts: SharedParts,
+    is_deadly: bool,
     fingerprint: u64,
     attempt: u32,
     first_event_at: Duration,
     finished_at: Duration,
 }
 
-impl Running {
-    fn is_deadly(&self) -> bool {
-        self.parts.contains(&DEADLY_PART)
-    }
-}
-
 #[derive(Debug, Clone, Default)]
 struct Endpoint {
     starts: u64,
@@ -68,6 +64,7 @@
     deadly_sent: Vec<Duration>,
     requests_per_s: u64,
     has_companion: bool,
+    is_crash_looping: bool,
     now: Duration,
     random: u64,
 }
@@ -84,6 +81,7 @@
             deadly_sent: Vec::new(),
             requests_per_s,
             has_companion: seed.is_multiple_of(2),
+            is_crash_looping: false,
             now: Duration::ZERO,
             random: seed.wrapping_mul(0x9e37_79b9_7f4a_7c15),
         }
@@ -109,9 +107,13 @@
         }
     }
 
-    pub(crate) fn crash_all(&mut self) {
-        for endpoint in 0..self.endpoints.len() {
-            self.crash(endpoint);
+    /// Lets every request crash its endpoint for some time.
+    pub(crate) fn run_crash_loop(&mut self, duration: Duration) {
+        self.is_crash_looping = true;
+        self.run(duration, false);
+        self.is_crash_looping = false;
+        for each in &mut self.running {
+            each.is_deadly = false;
         }
     }
 
@@ -131,10 +133,11 @@
             }
             parts.push(DEADLY_PART);
         }
+        let is_beside_deadly = !is_deadly && parts.contains(&COMPANION_PART);
+        let parts = shared_parts(MODEL_SERVICE, &parts);
         let gateway = self.below(self.gateways.len() as u64) as usize;
         let fingerprint = self.below(u64::MAX);
         let may_crash = self.crashes.get(4).is_none_or(|&at| self.now < at + ms(4_000));
-        let is_beside_deadly = !is_deadly && parts.contains(&COMPANION_PART);
         if self.gateways[gateway].must_refuse(self.now, &parts) {
             match is_deadly {
                 true => self.counts.deadly_refused += 1,
@@ -142,12 +145,19 @@
             }
             self.counts.companion_refused += u32::from(is_beside_deadly && !may_crash);
         } else {
-            self.send(gateway, parts, fingerprint, 1);
+            self.send(gateway, parts, is_deadly || self.is_crash_looping, fingerprint, 1);
         }
         self.counts.sound += u32::from(!is_deadly);
     }
 
-    fn send(&mut self, gateway: usize, parts: Vec<PartHash>, fingerprint: u64, attempt: u32) {
+    fn send(
+        &mut self,
+        gateway: usize,
+        parts: SharedParts,
+        is_deadly: bool,
+        fingerprint: u64,
+        attempt: u32,
+    ) {
         let up = (0..self.endpoints.len()).filter(|&index| self.endpoints[index].up_at <= self.now);
         let up: Vec<usize> = up.collect();
         if up.is_empty() {
@@ -156,13 +166,14 @@
         let endpoint = up[self.below(up.len() as u64) as usize];
         let first_event_at = self.now + ms(60 + self.below(150));
         let finished_at = first_event_at + ms(100 + self.below(1_500));
-        if parts.contains(&DEADLY_PART) {
+        if is_deadly {
             self.deadly_sent.push(self.now);
         }
         self.running.push(Running {
             gateway,
             endpoint,
             parts,
+            is_deadly,
             fingerprint,
             attempt,
             first_event_at,
@@ -172,12 +183,15 @@
 
     fn progress(&mut self) {
         let now = self.now;
-        let is_deadly = |each: &&Running| each.is_deadly() && each.first_event_at <= now;
+        let is_deadly = |each: &&Running| each.is_deadly && each.first_event_at <= now;
         while let Some(endpoint) = self.running.iter().find(is_deadly).map(|each| each.endpoint) {
             self.crashes.push(now);
             self.crash(endpoint);
         }
         let gateways = &mut self.gateways;
+        for gateway in gateways.iter_mut() {
+            gateway.on_finished(now, &shared_parts("another", &[1]));
+        }
         self.running.retain(|each| {
             if each.finished_at <= now {
                 gateways[each.gateway].on_finished(now, &each.parts);
@@ -195,14 +209,15 @@
             .partition(|each| each.endpoint == endpoint);
         self.running = running;
         for each in broken {
-            if each.first_event_at <= self.now && !each.is_deadly() {
+            if each.first_event_at <= self.now && !each.is_deadly {
                 continue;
             }
             let gateway = &mut self.gateways[each.gateway];
             gateway.on_connection_break(&each.parts, hash, each.fingerprint, self.now);
             let may_retry = each.attempt < ATTEMPTS;
             if may_retry && !self.gateways[each.gateway].must_refuse(self.now, &each.parts) {
-                self.send(each.gateway, each.parts, each.fingerprint, each.attempt + 1);
+                let (gateway, parts) = (each.gateway, each.parts);
+                self.send(gateway, parts, each.is_deadly, each.fingerprint, each.attempt + 1);
             }
         }
     }
--- a/forwarding/tests/support/mod.rs
+++ b/forwarding/tests/support/mod.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use forwarding::endpoints::Entry;
+use forwarding::prompt_suspects::SharedParts;
 use forwarding::quota::QuotaBounds;
 use forwarding::release::{
     Destination, Limits, Organisation, Quota, Release, Route, RouteKind, Service, Unit,
@@ -68,6 +69,13 @@
     Prompt { input_tokens: 6_200 + u64::from(own_tokens), max_output_tokens: 50, parts }
 }
 
+/// Parts of a prompt of `service` that has these parts and one of its own.
+pub(crate) fn shared_parts(service: &str, ids: &[u64]) -> SharedParts {
+    let own = PromptPart { id: u64::MAX, tokens: 10 };
+    let parts = ids.iter().map(|&id| PromptPart { id, tokens: 100 }).chain([own]);
+    SharedParts::new(service, &Prompt { parts: parts.collect(), ..Prompt::default() })
+}
+
 pub(crate) fn organisation(name: &str, units_per_s: f64) -> Organisation {
     let unit = Unit::Tokens { unnamed_tokens: 200.0 };
     let quota = Quota { units_per_s, burst_units: units_per_s, unit };
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -204,7 +204,8 @@
             age_ms: age_ms(each.at),
         });
         let finished_age_ms = seen.finished_at.map(age_ms);
-        gossip::PromptSuspect { part, breaks: breaks.collect(), finished_age_ms }
+        let is_refused = seen.is_refused;
+        gossip::PromptSuspect { part, breaks: breaks.collect(), finished_age_ms, is_refused }
     });
     let prompt_suspects = prompt_suspects.collect();
     let is_reader = dispatcher.store_role.is_reader();
