--- a/forwarding/src/prompt_suspects.rs
+++ b/forwarding/src/prompt_suspects.rs
@@ -52,8 +52,8 @@
 /// In an outage of the service hardly any finish; crashes that follow each other break many.
 const MAX_BROKEN_PER_COMPLETION: u64 = 4;
 
-/// Completions of other requests between the first and the last break, for a part that was sound: it
-/// would be among them if one request in ten had it.
+/// Minimum number of completions of other requests between the first and the last break, for a part
+/// that was sound. A part in common use finishes among so many.
 const SOUND_OTHER_COMPLETIONS: u64 = 60;
 
 /// Maximum number of parts that are remembered, of each kind.
@@ -68,7 +68,8 @@
 /// Maximum number of breaks that are remembered of one part.
 const MAX_BREAKS: usize = 4;
 
-/// Time that the breaks of another gateway may seem to differ from one report to the next.
+/// Maximum difference in the time of one break from one report of another gateway to the next, as
+/// reports state ages and take different times.
 const REPORT_JITTER: Duration = Duration::from_millis(100);
 
 /// Hash of a service.
@@ -236,7 +237,7 @@
         self.finished.retain(|part, &mut at| now < at + SOUND_RETENTION || is_suspected(part));
     }
 
-    /// Reports when parts that others suspect last finished here.
+    /// Adds the last completions here of parts that others suspect, for the next report.
     fn answer_suspicions(&mut self) {
         for part in self.peers.keys() {
             if let Some(&at) = self.finished.get(part) {
@@ -329,10 +330,12 @@
         counted.collect()
     }
 
+    /// Observations of a part by this gateway and the others.
     fn histories(&self, part: PartHash) -> impl Iterator<Item = &PartHistory> {
         self.peers.get(&part).into_iter().flatten().chain(self.own.get(&part))
     }
 
+    /// Whether a part is to blame for crashes, or another gateway says so.
     fn must_refuse_part(&self, now: Duration, part: PartHash) -> bool {
         let counted = self.counted_breaks(now, part);
         if distinct_breaks(&counted) < BREAKS_TO_REFUSE {
@@ -349,7 +352,8 @@
         self.finished_at(part).is_some_and(|at| first < at + SOUND_RETENTION)
     }
 
-    /// Whether requests of the service without this part finished between its breaks.
+    /// Whether the part explains its breaks: other requests of the service finished meanwhile, so that
+    /// the service as a whole was not at fault.
     fn is_only_cause(&self, part: PartHash, breaks: &[PartBreak]) -> bool {
         let Some(period) = self.periods.get(&part) else { return false };
         let first = breaks.iter().map(|each| each.at).min().unwrap_or_default();
--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -25,8 +25,7 @@
 /// Path of the handover.
 const PATH: &str = "/handover";
 
-/// Timeout of a call. A release with 1,400 routes takes 0.25 s on a 10 Mbit/s link that is otherwise
-/// unused.
+/// Timeout of a call, and maximum age of a connection at the source.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Maximum number of gateways that are tried in a row. Some of them may be unreachable or have too
@@ -36,7 +35,11 @@
 /// Interval at which this gateway compares what it has with what others report.
 const CHECK_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Every handover uses a new connection.
+/// Maximum number of handovers to other gateways at a time. The link of an instance is too slow for
+/// more of them to complete in time; those turned away ask another gateway, or come back.
+const MAX_TRANSFERS: usize = 3;
+
+/// Every handover uses a new connection, so their number is that of the transfers.
 const GATEWAY_CLIENTS: ClientSettings = ClientSettings {
     connection_kind: "a gateway connection",
     idle_timeout: CALL_TIMEOUT,
@@ -44,10 +47,6 @@
     max_age: Some(CALL_TIMEOUT),
 };
 
-/// Maximum number of handovers to other gateways at a time. The link of an instance is too slow for
-/// more of them to complete in time; those turned away ask another gateway, or come back.
-const MAX_TRANSFERS: usize = 3;
-
 /// Serves this gateway's release and endpoints to other gateways.
 pub(crate) async fn serve(context: Context, listener: TcpListener) {
     server::serve(context, listener, GATEWAY_CLIENTS, respond).await;
@@ -83,8 +82,8 @@
             warn!(context.logger, "release is behind"; "version" => need.version,
                 "reported" => need.reported_version, "is_store_failing" => need.is_store_failing);
         }
-        let must_start = need.is_store_failing && !need.is_ready;
-        if must_start || catch_up.must_ask_others(now, need.is_store_failing) {
+        let lacks_endpoints = need.is_store_failing && !need.is_ready;
+        if lacks_endpoints || catch_up.must_ask_others(now, need.is_store_failing) {
             request_until_complete(&context, round).await;
             round += 1;
         }
