--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -82,8 +82,8 @@
             warn!(context.logger, "release is behind"; "version" => need.version,
                 "reported" => need.reported_version, "is_store_failing" => need.is_store_failing);
         }
-        let lacks_endpoints = need.is_store_failing && !need.is_ready;
-        if lacks_endpoints || catch_up.must_ask_others(now, need.is_store_failing) {
+        let must_get_ready = need.is_store_failing && !need.is_ready;
+        if must_get_ready || catch_up.must_ask_others(now, need.is_store_failing) {
             request_until_complete(&context, round).await;
             round += 1;
         }
