--- a/forwarding/src/store_role.rs
+++ b/forwarding/src/store_role.rs
@@ -18,6 +18,10 @@
 /// reports.
 const DIFFERENCE_TIMEOUT: Duration = Duration::from_millis(1_800);
 
+/// Number that rises each time the store is restored from a copy; 0 if the store states none. What
+/// the store acknowledged before may then be missing, and offsets are given out again.
+pub type StoreEra = u64;
+
 /// How a gateway learns the store's contents.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum StoreRole {
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -6,9 +6,10 @@
 
 use bytes::Bytes;
 use forwarding::dispatcher::Dispatcher;
+use forwarding::store_role::StoreEra;
 use gotham::state::StateData;
 use rhubarbrock::clock::Clock;
-use slog::Logger;
+use slog::{Logger, info, warn};
 use tokio::sync::watch;
 
 use crate::clock::BootClock;
@@ -34,6 +35,8 @@
     pub(crate) phase: watch::Receiver<Phase>,
     /// Encoded release in force, as read from the store; empty if there is none.
     release_record: Mutex<Bytes>,
+    /// Latest era of the store; `None` until it is known.
+    store_era: watch::Sender<Option<StoreEra>>,
 }
 
 /// Handle of the shared state and the clock; cheap to clone.
@@ -70,6 +73,7 @@
             body_bytes: AtomicUsize::new(0),
             phase,
             release_record: Mutex::new(Bytes::new()),
+            store_era: watch::Sender::new(None),
         };
         Context { shared: Arc::new(shared), clock }
     }
@@ -103,6 +107,22 @@
         *self.release_record.lock().unwrap_or_else(PoisonError::into_inner) = record;
     }
 
+    /// Takes the era of the store from one of its answers.
+    pub(crate) fn on_store_era(&self, era: StoreEra) {
+        let known = *self.store_era.borrow();
+        if known.is_some_and(|known| era <= known) {
+            return;
+        }
+        self.store_era.send_replace(Some(era));
+        metrics::gauge!("gateway_store_era").set(era as f64);
+        if known.is_some() {
+            metrics::counter!("gateway_store_restorations_total").increment(1);
+            warn!(self.logger, "store restored from a copy"; "era" => era, "known" => known);
+        } else {
+            info!(self.logger, "store era known"; "era" => era);
+        }
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub(crate) fn open_request(&self, body_bytes: usize) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -47,7 +47,9 @@
     loop {
         match store.list_newest(topic, LISTING_TIMEOUT).await {
             Ok(listing) => {
-                health.on_answer(context);
+                health.on_answer(context, store);
+                info!(context.logger, "topic listed"; "topic" => topic, "era" => store.era(),
+                    "records" => listing.records.len(), "end_offset" => listing.end_offset);
                 return listing;
             }
             Err(error) => {
@@ -94,7 +96,7 @@
             };
             match read {
                 Ok(ReadResult::Records { records, next_offset: new_offset }) => {
-                    health.on_answer(&context);
+                    health.on_answer(&context, &store);
                     apply_release_records(&context, &records);
                     next_offset = new_offset;
                 }
@@ -168,7 +170,7 @@
             match store.read(store::REPLICAS_TOPIC, next_offset, Duration::ZERO, CALL_TIMEOUT).await
             {
                 Ok(ReadResult::Records { records, next_offset: new_offset }) => {
-                    health.on_answer(&context);
+                    health.on_answer(&context, &store);
                     apply_entries(&context, &records);
                     next_offset = new_offset;
                     time::sleep(read_interval).await;
@@ -287,7 +289,8 @@
         StoreHealth { topic, unavailable_since: None, lapse_after }
     }
 
-    fn on_answer(&mut self, context: &Context) {
+    fn on_answer(&mut self, context: &Context, store: &StoreClient) {
+        context.on_store_era(store.era());
         let now = context.now();
         {
             let answer_times = &mut context.dispatcher().store_answer_times;
