List a topic again after the store was restored from a copy

Callers could get 404 for a route that was added after a restoration, and requests could still go to a replica that had said it leaves.

The tasks that follow releases and entries kept their next offset. A restored store gives offsets out again. It answers 410 only while it ends before the offset; once it has grown back, what lies between the end of the copy and the offset is never read. Neither a long read nor the reports of other gateways help, as all readers skip the same records.

Ruled out: an invalid release and a version that went back; the offset was valid and the read returned no record.

--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -75,6 +75,7 @@
         let listing =
             list_until_answered(&context, &mut store, store::OPERATOR_TOPIC, &mut health).await;
         apply_release_records(&context, &listing.records);
+        let listed_era = store.era();
         let mut next_offset = listing.end_offset;
         loop {
             if !context.dispatcher().store_role.is_reader() {
@@ -95,6 +96,8 @@
                 }
             };
             match read {
+                // Offsets were given out again, so records may have been skipped.
+                Ok(_) if store.era() != listed_era => break,
                 Ok(ReadResult::Records { records, next_offset: new_offset }) => {
                     health.on_answer(&context, &store);
                     apply_release_records(&context, &records);
@@ -160,6 +163,7 @@
         let listing =
             list_until_answered(&context, &mut store, store::REPLICAS_TOPIC, &mut health).await;
         apply_listing(&context, &listing);
+        let listed_era = store.era();
         let mut next_offset = listing.end_offset;
         loop {
             if !update_store_role(&context).is_reader() {
@@ -169,6 +173,8 @@
             }
             match store.read(store::REPLICAS_TOPIC, next_offset, Duration::ZERO, CALL_TIMEOUT).await
             {
+                // Offsets were given out again, so records may have been skipped.
+                Ok(_) if store.era() != listed_era => break,
                 Ok(ReadResult::Records { records, next_offset: new_offset }) => {
                     health.on_answer(&context, &store);
                     apply_entries(&context, &records);
