Raise lease epochs with the era of the store

The epoch was the offset at which the lease was taken, and offsets go back. A restored record also may name an earlier holder, which took the lease at once, or be missing, with the same effect, while the present holder still acted. The windows of the lost records could be reported again with other counts. And a holder that renewed got a conflict and gave the lease up.

The era is now the high part of the epoch. A record of an earlier era, or none, means a restoration: the holder writes its record again with a new epoch, as long as its lease lasts; all others wait for the lease time, even if the record is their own. The next one then skips the windows that have ended, which the record says with an empty window. An append that is answered in another era than that of its condition decides nothing. Ruled out: lost answers alone, which the simulation had covered without a failure.

--- a/forwarding/src/lease.rs
+++ b/forwarding/src/lease.rs
@@ -4,16 +4,23 @@
 //! written only on the condition that nothing was appended since it was read.
 //! The holder counts the lease time from before it sent a write, the others
 //! from when they read the record. The holder therefore stops before another
-//! gateway takes over. The epoch of a lease derives from the log offset at
-//! which it was taken, so it increases with every holder.
+//! gateway takes over. The epoch of a lease derives from the era of the log and
+//! the offset at which it was taken, so it increases with every holder.
 //!
 //! The record also contains the request counts of the latest usage windows.
 //! Counts are recorded there before they are reported, so that different
 //! holders never report different counts for a window.
+//!
+//! When the log is restored from a copy, which begins a new era, the record of
+//! the holder may be gone. The holder writes it again while its lease lasts.
+//! The others wait for the lease time even if the restored record is their own
+//! or there is none. The next holder drops the windows up to then, as the lost
+//! records may have had other counts.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use crate::store_role::StoreEra;
 use crate::usage::{RequestCounts, WindowIndex};
 
 /// Time limit of a call made by the holder, reserved at the end of the lease.
@@ -31,6 +38,9 @@
 /// Windows kept in the record, enough for the next holder to repeat reports that may be missing.
 const MAX_RECORD_WINDOWS: usize = 4;
 
+/// Bits of an epoch that hold the offset; the higher ones hold the era.
+const EPOCH_OFFSET_BITS: u32 = 32;
+
 /// Offset in the partition of the lease.
 pub type Offset = u64;
 
@@ -76,11 +86,27 @@
 
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct PartitionState {
+    era: StoreEra,
     end: Offset,
     record: Option<LeaseRecord>,
     known_since: Duration,
 }
 
+impl PartitionState {
+    /// Whether the record was written in this era, so that no later one was lost.
+    fn is_current(&self) -> bool {
+        match &self.record {
+            Some(record) => record.epoch >> EPOCH_OFFSET_BITS == self.era,
+            None => self.era == 0,
+        }
+    }
+
+    /// Epoch of a lease that is taken at the end of the partition.
+    fn next_epoch(&self) -> u64 {
+        (self.era << EPOCH_OFFSET_BITS) + self.end + 1
+    }
+}
+
 /// One gateway's view of the lease.
 #[derive(Debug)]
 pub struct Lease {
@@ -133,14 +159,15 @@
     }
 
     /// Decides the next step. `has_live_holder` is whether another gateway reports that it holds
-    /// the lease, `rank` the position of this gateway among the candidates, and `due_window` a
-    /// window whose counts are to be recorded.
+    /// the lease, `rank` the position of this gateway among the candidates, `due_window` a window
+    /// whose counts are to be recorded, and `ended_window` the latest window that has ended.
     pub fn step(
         &mut self,
         now: Duration,
         has_live_holder: bool,
         rank: u32,
         due_window: Option<(WindowIndex, RequestCounts)>,
+        ended_window: WindowIndex,
     ) -> Step {
         if self.pending_append.is_some() {
             return Step::Wait;
@@ -162,32 +189,42 @@
             return Step::Read;
         }
         let Some(partition) = &self.partition else { return Step::Read };
-        let may_take = match &partition.record {
+        let is_current = partition.is_current();
+        let is_free = match &partition.record {
             None => true,
-            Some(record) if record.holder == self.name => true,
-            Some(_) => now >= partition.known_since + self.duration + CLOCK_MARGIN,
+            Some(record) => record.holder == self.name,
         };
-        if !may_take {
+        let is_expired = now >= partition.known_since + self.duration + CLOCK_MARGIN;
+        if !(is_current && is_free || is_expired) {
             return Step::Wait;
         }
-        let windows = partition.record.as_ref().map(|record| record.windows.clone());
+        let windows = match &partition.record {
+            Some(record) if is_current => record.windows.clone(),
+            _ if is_current => BTreeMap::new(),
+            // An empty window keeps this holder and later ones from reporting it or earlier ones.
+            _ => BTreeMap::from([(ended_window, RequestCounts::new())]),
+        };
         let record = LeaseRecord {
             holder: self.name.clone(),
             incarnation: self.incarnation,
-            epoch: partition.end + 1,
-            windows: windows.unwrap_or_default(),
+            epoch: partition.next_epoch(),
+            windows,
         };
         self.append(partition.end, record)
     }
 
     fn renew(&mut self, now: Duration, due_window: Option<(WindowIndex, RequestCounts)>) -> Step {
-        let is_due = now >= self.renewed_at + self.duration / RENEWAL_DIVISOR;
         if self.must_read {
             return Step::Read;
         }
         let Some(partition) = &self.partition else { return Step::Read };
         let Some(mut record) = partition.record.clone() else { return Step::Read };
         let end = partition.end;
+        let is_current = partition.is_current();
+        let is_due = !is_current || now >= self.renewed_at + self.duration / RENEWAL_DIVISOR;
+        if !is_current {
+            record.epoch = partition.next_epoch();
+        }
         let unsettled = due_window.filter(|(window, _)| !record.windows.contains_key(window));
         if !is_due && unsettled.is_none() {
             return Step::Wait;
@@ -206,26 +243,43 @@
         Step::Append { at, record }
     }
 
-    /// Takes the newest record and the end of the partition, as read at `now`.
-    pub fn on_read(&mut self, now: Duration, end: Offset, record: Option<LeaseRecord>) {
+    /// Takes the newest record and the end of the partition, as read at `now` in this era.
+    pub fn on_read(
+        &mut self,
+        now: Duration,
+        era: StoreEra,
+        end: Offset,
+        record: Option<LeaseRecord>,
+    ) {
         self.must_read = false;
-        let is_own = record.as_ref().is_some_and(|record| self.is_own(record));
-        if !is_own {
+        let mut read = PartitionState { era, end, record, known_since: now };
+        let is_own = read.record.as_ref().is_some_and(|record| self.is_own(record));
+        if self.is_held(now) && !read.is_current() {
+            // No other gateway has taken the lease in this era. What this one holds is newer.
+            read.record = self.own_record().cloned();
+        } else if !is_own {
             self.held_until = None;
         }
-        if self.partition.as_ref().is_some_and(|partition| partition.end == end) {
-            return;
+        let is_known = self.partition.as_ref().is_some_and(|known| {
+            (known.era, known.end, &known.record) == (read.era, read.end, &read.record)
+        });
+        if !is_known {
+            self.partition = Some(read);
         }
-        self.partition = Some(PartitionState { end, record, known_since: now });
     }
 
-    /// Takes the outcome of the append that was sent at `sent_at`.
-    pub fn on_append_outcome(&mut self, sent_at: Duration, outcome: AppendOutcome) {
+    /// Takes the outcome of the append that was sent at `sent_at`, as stated in this era.
+    pub fn on_append_outcome(&mut self, sent_at: Duration, era: StoreEra, outcome: AppendOutcome) {
         let Some(record) = self.pending_append.take() else { return };
+        if self.partition.as_ref().is_none_or(|partition| partition.era != era) {
+            // The condition on the end of the partition was for another era.
+            self.must_read = true;
+            return;
+        }
         match outcome {
             AppendOutcome::Done(end) => {
-                self.partition =
-                    Some(PartitionState { end, record: Some(record), known_since: sent_at });
+                let record = Some(record);
+                self.partition = Some(PartitionState { era, end, record, known_since: sent_at });
                 self.renewed_at = sent_at;
                 self.held_until = Some(sent_at + self.duration);
                 self.must_read = false;
--- a/gateway/src/duties.rs
+++ b/gateway/src/duties.rs
@@ -75,7 +75,12 @@
             (peers.has_lease_holder(now), peers.name_rank(now, &self.name))
         };
         let due = self.due_window(now);
-        match self.lease.step(now, has_live_holder, rank, due) {
+        let unix_time = {
+            let peers = &self.context.dispatcher().peers;
+            peers.median_unix_time(now, self.context.unix_time())
+        };
+        let ended_window = usage::window_at(unix_time, self.window_length).saturating_sub(1);
+        match self.lease.step(now, has_live_holder, rank, due, ended_window) {
             Step::Wait => {}
             Step::Read => self.read_lease().await,
             Step::Append { at, record } => self.append_lease(at, &record).await,
@@ -112,7 +117,11 @@
                 let record = listing.records.iter().find(|record| record.key == lease_record::KEY);
                 let value = record.and_then(|record| record.value.as_ref());
                 match value.map(|value| lease_record::decode(value)).transpose() {
-                    Ok(record) => self.lease.on_read(read_at, listing.end_offset, record),
+                    Ok(record) => {
+                        let era = self.store.era();
+                        self.context.on_store_era(era);
+                        self.lease.on_read(read_at, era, listing.end_offset, record);
+                    }
                     Err(error) => {
                         warn!(self.context.logger, "invalid lease record"; "error" => %error)
                     }
@@ -145,7 +154,7 @@
                 }
             }
         };
-        self.lease.on_append_outcome(sent_at, outcome);
+        self.lease.on_append_outcome(sent_at, self.store.era(), outcome);
     }
 
     fn update_lease_state(&mut self) {
