Keep endpoints whose entries a restored store has lost

A replica that had joined in the seconds that a restoration took back got no requests afterwards, from any gateway, until its process started again.

Its entry is missing from the first listing, which counted as a departure: that is told to the other gateways and refuses all entries of that process for two minutes. An outage of more than two heartbeats gives missing entries time to return, but a restoration may be shorter. And an entry that was written again with the same sequence number was ignored as old, so that the endpoint lapsed all the same.

A new era now starts the time for renewals, however short the outage, and the known entry, read from the store again, confirms a lapsed endpoint. A report of another gateway still does not. Ruled out: the address of a replica and its health; the entry itself was refused.

--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -154,8 +154,19 @@
 }
 
 impl EndpointTable {
-    /// Applies an entry from the store or from another gateway.
+    /// Applies an entry from the store.
     pub fn on_entry(&mut self, now: Duration, entry: Entry) -> Change {
+        // After a restoration, the entry that the store lost is written again as it was.
+        let is_written_again = self.latest.get(&entry.id)
+            == Some(&(entry.process_start_ms, entry.sequence))
+            && !entry.is_leaving;
+        if is_written_again && let Some(known) = self.endpoints.get_mut(&entry.id) {
+            known.lapses_at = None;
+        }
+        self.apply(now, entry)
+    }
+
+    fn apply(&mut self, now: Duration, entry: Entry) -> Change {
         if !self.is_newer(&entry) {
             return Change::None;
         }
@@ -209,7 +220,7 @@
     pub fn on_reported_entry(&mut self, now: Duration, entry: Entry) -> Change {
         // An entry that lapsed in an outage may be missing from the first list.
         self.is_store_unavailable |= !self.is_listed;
-        self.on_entry(now, entry)
+        self.apply(now, entry)
     }
 
     /// Applies an entry that another gateway handed over, because the store does not answer.
@@ -295,6 +306,13 @@
         }
     }
 
+    /// Records that the store was restored from a copy, from which entries may be missing until they
+    /// are written again.
+    pub fn on_store_restored(&mut self, now: Duration) {
+        self.on_store_unavailable();
+        self.on_store_available(now);
+    }
+
     /// End of the time in which a missing entry may only have lapsed; `None` outside that time.
     fn renewal_end(&self, now: Duration) -> Option<Duration> {
         let until = self.store_available_at? + RENEWAL_AFTER_OUTAGE;
--- a/forwarding/tests/endpoints.rs
+++ b/forwarding/tests/endpoints.rs
@@ -56,6 +56,24 @@
     assert!(table.get("b").is_some());
 }
 
+/// Guards against endpoints that count as gone, or lapse, although the entry that a restored store
+/// had lost was written again as it was.
+#[test]
+fn keeps_endpoint_whose_lost_entry_is_written_again() {
+    let mut table = EndpointTable::default();
+    table.on_snapshot(ms(0), vec![entry("a", MODEL_SERVICE, 5, 1)]);
+    table.on_entry(ms(1_000), entry("b", MODEL_SERVICE, 5, 1));
+    table.on_entry(ms(1_000), entry("c", MODEL_SERVICE, 5, 1));
+    table.on_store_restored(ms(2_000));
+    let changes = table.on_snapshot(ms(2_010), vec![entry("a", MODEL_SERVICE, 5, 1)]);
+    assert_eq!(changes, ["b", "c"].map(|id| (id.to_owned(), Change::Lapsed)));
+    // Only the store can confirm an endpoint.
+    table.on_reported_entry(ms(2_500), entry("c", MODEL_SERVICE, 5, 1));
+    table.on_entry(ms(3_000), entry("b", MODEL_SERVICE, 5, 1));
+    assert_eq!(table.tick(ms(4_400)), ["c"]);
+    assert!(table.get("b").is_some());
+}
+
 #[test]
 fn removes_endpoints_missing_from_snapshot() {
     let mut table = EndpointTable::default();
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -118,6 +118,7 @@
         if known.is_some() {
             metrics::counter!("gateway_store_restorations_total").increment(1);
             warn!(self.logger, "store restored from a copy"; "era" => era, "known" => known);
+            self.dispatcher().endpoints.on_store_restored(self.now());
         } else {
             info!(self.logger, "store era known"; "era" => era);
         }
