--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -47,7 +47,9 @@
     loop {
         match store.list_newest(topic, LISTING_TIMEOUT).await {
             Ok(listing) => {
-                health.on_answer(context);
+                health.on_answer(context, store);
+                info!(context.logger, "topic listed"; "topic" => topic, "era" => store.era(),
+                    "records" => listing.records.len(), "end_offset" => listing.end_offset);
                 return listing;
             }
             Err(error) => {
@@ -73,6 +75,7 @@
         let listing =
             list_until_answered(&context, &mut store, store::OPERATOR_TOPIC, &mut health).await;
         apply_release_records(&context, &listing.records);
+        let listed_era = store.era();
         let mut next_offset = listing.end_offset;
         loop {
             if !context.dispatcher().store_role.is_reader() {
@@ -93,8 +96,10 @@
                 }
             };
             match read {
+                // Offsets were given out again, so records may have been skipped.
+                Ok(_) if store.era() != listed_era => break,
                 Ok(ReadResult::Records { records, next_offset: new_offset }) => {
-                    health.on_answer(&context);
+                    health.on_answer(&context, &store);
                     apply_release_records(&context, &records);
                     next_offset = new_offset;
                 }
@@ -158,6 +163,7 @@
         let listing =
             list_until_answered(&context, &mut store, store::REPLICAS_TOPIC, &mut health).await;
         apply_listing(&context, &listing);
+        let listed_era = store.era();
         let mut next_offset = listing.end_offset;
         loop {
             if !update_store_role(&context).is_reader() {
@@ -167,8 +173,10 @@
             }
             match store.read(store::REPLICAS_TOPIC, next_offset, Duration::ZERO, CALL_TIMEOUT).await
             {
+                // Offsets were given out again, so records may have been skipped.
+                Ok(_) if store.era() != listed_era => break,
                 Ok(ReadResult::Records { records, next_offset: new_offset }) => {
-                    health.on_answer(&context);
+                    health.on_answer(&context, &store);
                     apply_entries(&context, &records);
                     next_offset = new_offset;
                     time::sleep(read_interval).await;
@@ -287,7 +295,8 @@
         StoreHealth { topic, unavailable_since: None, lapse_after }
     }
 
-    fn on_answer(&mut self, context: &Context) {
+    fn on_answer(&mut self, context: &Context, store: &StoreClient) {
+        context.on_store_era(store.era());
         let now = context.now();
         {
             let answer_times = &mut context.dispatcher().store_answer_times;
