Let a silent endpoint go on unless another attempt can be made

What callers saw: a stream that may not be resumed was cut after a silence of max(1.2 s, 5 gap targets), and so was one that may be resumed if the retry budget was spent, no other endpoint was left or the attempts were used up. A repeatable request got a 502 for a silence of two fifths of its time although its endpoint would have answered.

Cause: a silence ended the attempt first, and only then was it decided whether another one is possible. Both timeouts had the same order: the first byte (Exchange::send), the first event (relay::start) and later events (Relay::next). Now Dispatcher::replace_silent decides under one lock: it selects another endpoint and takes the retry, and only then ends the silent attempt; otherwise nothing changes and the gateway goes on waiting until the deadline, looking for another endpoint every 200 ms if the request may run again. The connection of the silent attempt is closed before the new one is sent, as before. The first silence of an attempt that goes on counts as a failure of its endpoint, so that silent endpoints are ejected as before.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -1,5 +1,7 @@
 //! Decisions on one gateway's requests, from admission to the last attempt.
 
+mod targets;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,16 +12,17 @@
 use crate::peers::Peers;
 use crate::prompt_suspects::{PromptSuspects, SharedParts};
 use crate::quota::{self, Accounts};
-use crate::refusal::{RefusalReason, UNAVAILABLE_RETRY_AFTER};
+use crate::refusal::RefusalReason;
 use crate::release::{Release, RouteKind};
 use crate::request::{Prompt, Request};
 use crate::retry_budget::RetryBudget;
-use crate::selection::{self, SelectionCriteria};
 use crate::settings::Settings;
 use crate::store_role::{StoreAnswerTimes, StoreRole};
 use crate::suspects::{self, Fingerprint, Suspects};
 use crate::usage::{self, Usage};
 
+pub use targets::Replacement;
+
 /// Time for which an endpoint is avoided after it refused a request for lack of capacity.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(150);
 
@@ -111,6 +114,11 @@
             || (self.kind.is_repeatable() && self.possible_runs < self.max_attempts)
     }
 
+    /// Whether it may be sent to another endpoint after the attempt in progress, which may have run.
+    pub fn may_run_again(&self) -> bool {
+        self.kind.is_repeatable() && self.possible_runs + 1 < self.max_attempts
+    }
+
     fn waiting_tokens(&self) -> u64 {
         self.prompt.as_ref().map_or(0, |prompt| prompt.unshared_tokens().max(1))
     }
@@ -294,52 +302,6 @@
         Ok(())
     }
 
-    /// Selects the endpoint of the next attempt and counts the attempt as sent.
-    ///
-    /// Fails if the deadline has passed, the request crashes endpoints, no endpoint is left, or the
-    /// retry budget is spent.
-    pub fn next_target(
-        &mut self,
-        now: Duration,
-        admitted: &mut AdmittedRequest,
-    ) -> Result<Target, RefusalReason> {
-        if admitted.time_left(now).is_zero() {
-            return Err(RefusalReason::Expired);
-        }
-        self.check_suspects(now, admitted.fingerprint, &admitted.shared_parts)?;
-        let has_run = admitted.possible_runs > 0;
-        if has_run && !self.prompt_suspects.may_retry(now, &admitted.shared_parts) {
-            return Err(RefusalReason::SuspectPart);
-        }
-        let criteria = SelectionCriteria {
-            service: &admitted.service,
-            prompt: admitted.prompt.as_ref(),
-            data_centre: &self.settings.data_centre,
-            tried: &admitted.tried,
-        };
-        let endpoint =
-            selection::select(&self.endpoints, now, &criteria).ok_or(RefusalReason::NoEndpoint)?;
-        let is_idle = endpoint.waiting_tokens() == 0 && !endpoint.is_warming_up(now);
-        let target = Target {
-            id: endpoint.entry.id.clone(),
-            address: endpoint.entry.address,
-            process_start_ms: endpoint.entry.process_start_ms,
-            may_reuse_connections: endpoint.may_reuse_connections(now),
-        };
-        if !admitted.tried.is_empty() {
-            let gateways = self.peers.gateway_count(now);
-            let bounds = &self.settings.bounds;
-            if !self.retry_budget.try_take(now, bounds, &admitted.service, gateways) {
-                return Err(RefusalReason::Full { wait: UNAVAILABLE_RETRY_AFTER });
-            }
-        }
-        self.endpoints.on_sent(now, &target.id, admitted.waiting_tokens());
-        admitted.sent_to_idle_at = is_idle.then_some(now);
-        admitted.first_event_at = None;
-        admitted.tried.push(target.id.clone());
-        Ok(target)
-    }
-
     /// Records the first byte of an answer or the first event of a stream. `unix_time` is the time
     /// of day.
     pub fn on_first_event(
--- /dev/null
+++ b/forwarding/tests/silence.rs
@@ -0,0 +1,100 @@
+//! Replacement of attempts whose endpoints are silent.
+
+mod support;
+
+use forwarding::dispatcher::{AdmittedRequest, Dispatcher, Target};
+use support::{MODEL_SERVICE, PLAIN_SERVICE, entry, ms, release, request, settings};
+
+fn dispatcher(endpoints: &[&str]) -> Dispatcher {
+    let mut dispatcher = Dispatcher::new(settings("g1"));
+    dispatcher.on_release(release(3));
+    for id in endpoints {
+        for service in [MODEL_SERVICE, PLAIN_SERVICE] {
+            dispatcher.endpoints.on_entry(ms(0), entry(&format!("{service}-{id}"), service, 1, 1));
+        }
+    }
+    dispatcher
+}
+
+fn send(dispatcher: &mut Dispatcher, id: &str, path: &str) -> (AdmittedRequest, Target) {
+    let mut admitted = dispatcher.admit(ms(10), &request(id, path), b"body").unwrap();
+    let target = dispatcher.next_target(ms(10), &mut admitted).unwrap();
+    (admitted, target)
+}
+
+fn assert_goes_on(dispatcher: &mut Dispatcher, mut admitted: AdmittedRequest, target: &Target) {
+    let before = format!("{admitted:?} {:?}", dispatcher.endpoints);
+    assert_eq!(dispatcher.replace_silent(ms(400), &mut admitted, target, true), None);
+    assert_eq!(format!("{admitted:?} {:?}", dispatcher.endpoints), before);
+}
+
+#[test]
+fn silent_attempt_is_replaced_at_another_endpoint() {
+    for path in ["/look/1", "/write/1"] {
+        let mut dispatcher = dispatcher(&["1", "2", "3"]);
+        let (mut admitted, silent) = send(&mut dispatcher, "a1", path);
+        let replacement =
+            dispatcher.replace_silent(ms(400), &mut admitted, &silent, false).unwrap();
+        assert_ne!(replacement.target.id, silent.id);
+        assert_eq!(admitted.tried, [silent.id, replacement.target.id.clone()]);
+        assert_eq!(admitted.possible_runs, 1);
+        // The second attempt is the last one allowed.
+        assert_goes_on(&mut dispatcher, admitted, &replacement.target);
+    }
+}
+
+/// Guards against ending an attempt for a silence that must not be repeated.
+#[test]
+fn silent_attempt_that_may_run_only_once_goes_on() {
+    for path in ["/order/1", "/answer/1"] {
+        let mut dispatcher = dispatcher(&["1", "2"]);
+        let (admitted, silent) = send(&mut dispatcher, "a1", path);
+        assert_goes_on(&mut dispatcher, admitted, &silent);
+    }
+}
+
+/// Guards against ending an attempt for a silence when no other endpoint is left.
+#[test]
+fn silent_attempt_without_another_endpoint_goes_on() {
+    let mut dispatcher = dispatcher(&["1"]);
+    let (admitted, silent) = send(&mut dispatcher, "a1", "/write/1");
+    assert_goes_on(&mut dispatcher, admitted, &silent);
+}
+
+/// Guards against ending an attempt for a silence when the retry budget is spent.
+#[test]
+fn silent_attempt_goes_on_while_the_retry_budget_is_spent() {
+    let mut dispatcher = dispatcher(&["1", "2"]);
+    let mut silent = Vec::new();
+    for index in 0..100 {
+        silent.push(send(&mut dispatcher, &format!("a{index}"), "/look/1"));
+    }
+    let mut replaced = 0;
+    for (mut admitted, target) in silent {
+        let before = admitted.clone();
+        if dispatcher.replace_silent(ms(400), &mut admitted, &target, false).is_some() {
+            replaced += 1;
+            continue;
+        }
+        assert_eq!(format!("{admitted:?}"), format!("{before:?}"));
+        // The budget is refilled when the window has passed.
+        let mut later = dispatcher.admit(ms(12_000), &request("later", "/look/1"), b"").unwrap();
+        dispatcher.next_target(ms(12_000), &mut later).unwrap();
+        admitted.deadline = ms(20_000);
+        assert!(
+            dispatcher.replace_silent(ms(12_000), &mut admitted, &target, false).is_some(),
+            "not replaced later"
+        );
+        break;
+    }
+    assert!((1..100).contains(&replaced), "{replaced} of 100 replaced");
+}
+
+/// Guards against ending an attempt for a silence at its deadline as if another one could follow.
+#[test]
+fn silent_attempt_is_not_replaced_after_its_deadline() {
+    let mut dispatcher = dispatcher(&["1", "2"]);
+    let (mut admitted, silent) = send(&mut dispatcher, "a1", "/look/1");
+    admitted.deadline = ms(300);
+    assert_goes_on(&mut dispatcher, admitted, &silent);
+}
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -1,5 +1,6 @@
 //! Exchange with endpoints for one admitted request, in one or more attempts.
 
+use std::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -26,6 +27,9 @@
 /// Minimum time before another endpoint is tried, as a multiple of the route's latency target.
 const MIN_FIRST_EVENT_TIMEOUT_TARGETS: f64 = 2.0;
 
+/// Interval at which another endpoint is looked for while the current one is silent.
+const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Caller's request as it is forwarded.
 #[derive(Debug)]
 pub(crate) struct OutgoingRequest {
@@ -49,6 +53,10 @@
     pub(crate) sent_at: Duration,
     /// Time of the first byte of the answer, or of the first event of a stream.
     pub(crate) first_event_at: Option<Duration>,
+    /// Whether nothing has been sent yet, as it has just replaced a silent attempt.
+    is_pending: bool,
+    /// Whether its endpoint has been silent and the attempt has gone on.
+    was_silent: bool,
 }
 
 /// Head of an endpoint's answer, with the body still to be read.
@@ -72,6 +80,18 @@
     _open_request: OpenRequest,
 }
 
+impl CurrentAttempt {
+    fn new(target: Target, sent_at: Duration) -> CurrentAttempt {
+        CurrentAttempt {
+            target,
+            sent_at,
+            first_event_at: None,
+            is_pending: false,
+            was_silent: false,
+        }
+    }
+}
+
 impl Drop for Exchange {
     fn drop(&mut self) {
         let Some(current_attempt) = self.current_attempt.take() else { return };
@@ -111,11 +131,12 @@
         last_event_id: Option<u64>,
     ) -> Result<Answer, GiveUpReason> {
         loop {
-            let now = self.context.now();
-            let target = self.context.dispatcher().next_target(now, &mut self.admitted);
-            let target = target.map_err(|refusal| self.give_up(refusal))?;
-            self.current_attempt =
-                Some(CurrentAttempt { target, sent_at: now, first_event_at: None });
+            if !self.start_pending() {
+                let now = self.context.now();
+                let target = self.context.dispatcher().next_target(now, &mut self.admitted);
+                let target = target.map_err(|refusal| self.give_up(refusal))?;
+                self.current_attempt = Some(CurrentAttempt::new(target, now));
+            }
             match self.try_endpoint(last_event_id).await {
                 Ok(answer) => return Ok(answer),
                 Err(outcome) => self.fail(outcome)?,
@@ -123,8 +144,12 @@
         }
     }
 
-    /// Ends the current attempt as failed. Returns an error if no further attempt is allowed.
+    /// Ends the current attempt as failed, unless it has already been replaced. Returns an error if
+    /// no further attempt is allowed.
     pub(crate) fn fail(&mut self, outcome: Outcome) -> Result<(), GiveUpReason> {
+        if self.current_attempt.as_ref().is_some_and(|attempt| attempt.is_pending) {
+            return Ok(());
+        }
         let Some(current_attempt) = self.current_attempt.take() else {
             return Err(GiveUpReason::Failed(outcome));
         };
@@ -137,19 +162,82 @@
             outcome,
             had_first_event,
         );
+        self.log_failure(now, &current_attempt, outcome, is_ejected);
+        if self.admitted.may_repeat() { Ok(()) } else { Err(GiveUpReason::Failed(outcome)) }
+    }
+
+    fn log_failure(
+        &self,
+        now: Duration,
+        attempt: &CurrentAttempt,
+        outcome: Outcome,
+        is_ejected: bool,
+    ) {
         metrics::counter!("gateway_attempt_failures_total", "outcome" => outcome.to_string())
             .increment(1);
         info!(self.context.logger, "attempt failed";
-            "request" => &self.admitted.attempt_id, "endpoint" => &current_attempt.target.id,
-            "outcome" => %outcome, "after_ms" => logger::as_ms(now.saturating_sub(current_attempt.sent_at)),
+            "request" => &self.admitted.attempt_id, "endpoint" => &attempt.target.id,
+            "outcome" => %outcome, "after_ms" => logger::as_ms(now.saturating_sub(attempt.sent_at)),
             "runs" => self.admitted.possible_runs, "max_attempts" => self.admitted.max_attempts,
             "time_left_ms" => logger::as_ms(self.admitted.time_left(now)),
-            "had_first_event" => had_first_event);
+            "had_first_event" => attempt.first_event_at.is_some());
         if is_ejected {
             warn!(self.context.logger, "endpoint ejected";
-                "endpoint" => &current_attempt.target.id, "outcome" => %outcome);
+                "endpoint" => &attempt.target.id, "outcome" => %outcome);
         }
-        if self.admitted.may_repeat() { Ok(()) } else { Err(GiveUpReason::Failed(outcome)) }
+    }
+
+    /// Waits for the next part of an answer until the deadline. After a silence of `timeout`, the
+    /// attempt ends as soon as another one can be made; [`Exchange::fail`] then keeps that one.
+    pub(crate) async fn wait<T>(
+        &mut self,
+        part: impl Future<Output = T>,
+        mut timeout: Duration,
+    ) -> Result<T, Outcome> {
+        let mut part = pin::pin!(part);
+        loop {
+            let time_left = self.admitted.time_left(self.context.now());
+            if let Ok(part) = time::timeout(timeout.min(time_left), part.as_mut()).await {
+                return Ok(part);
+            }
+            let now = self.context.now();
+            if self.admitted.time_left(now).is_zero() || self.replace_silent(now) {
+                return Err(Outcome::TimedOut);
+            }
+            let may_run_again = self.admitted.may_run_again();
+            timeout = if may_run_again { SILENCE_CHECK_INTERVAL } else { Duration::MAX };
+        }
+    }
+
+    /// Replaces the current attempt by one at another endpoint; returns whether that was possible.
+    fn replace_silent(&mut self, now: Duration) -> bool {
+        let Some(silent) = &mut self.current_attempt else { return false };
+        let had_first_event = silent.first_event_at.is_some();
+        let mut dispatcher = self.context.dispatcher();
+        let replacement =
+            dispatcher.replace_silent(now, &mut self.admitted, &silent.target, had_first_event);
+        let Some(replacement) = replacement else {
+            if !std::mem::replace(&mut silent.was_silent, true) {
+                let is_ejected = dispatcher.on_silence(now, &silent.target);
+                info!(self.context.logger, "endpoint silent";
+                    "request" => &self.admitted.attempt_id, "endpoint" => &silent.target.id,
+                    "after_ms" => logger::as_ms(now.saturating_sub(silent.sent_at)),
+                    "had_first_event" => had_first_event, "is_ejected" => is_ejected);
+            }
+            return false;
+        };
+        drop(dispatcher);
+        let mut attempt = CurrentAttempt::new(replacement.target, now);
+        attempt.is_pending = true;
+        let silent = std::mem::replace(silent, attempt);
+        self.log_failure(now, &silent, Outcome::TimedOut, replacement.is_ejected);
+        true
+    }
+
+    /// Starts the attempt that replaced a silent one; returns whether there is one.
+    fn start_pending(&mut self) -> bool {
+        let attempt = self.current_attempt.as_mut();
+        attempt.is_some_and(|attempt| std::mem::take(&mut attempt.is_pending))
     }
 
     /// Ends the current attempt with a complete answer.
@@ -234,7 +322,7 @@
     }
 
     async fn send(
-        &self,
+        &mut self,
         target: &Target,
         mut connection: Connection,
         last_event_id: Option<u64>,
@@ -252,10 +340,9 @@
         *request.headers_mut() = headers::encode_request(&self.outgoing.headers, &gateway_headers);
         let first_event_timeout = self.first_event_timeout(now);
         let answer =
-            match time::timeout(first_event_timeout, connection.sender.try_send_request(request))
-                .await
+            match self.wait(connection.sender.try_send_request(request), first_event_timeout).await
             {
-                Err(_) => return Err(SendError::Sent(Outcome::TimedOut)),
+                Err(outcome) => return Err(SendError::Sent(outcome)),
                 Ok(Err(mut error)) => {
                     let was_sent = error.take_message().is_none();
                     let outcome = SendError::Sent(Outcome::Broken);
@@ -272,9 +359,7 @@
     /// deadline, or for a part of the time left if another endpoint may be tried.
     pub(crate) fn first_event_timeout(&self, now: Duration) -> Duration {
         let time_left = self.admitted.time_left(now);
-        let may_repeat = self.admitted.kind.is_repeatable()
-            && self.admitted.possible_runs + 1 < self.admitted.max_attempts;
-        if !may_repeat {
+        if !self.admitted.may_run_again() {
             return time_left;
         }
         let min_timeout = self.admitted.latency_target.mul_f64(MIN_FIRST_EVENT_TIMEOUT_TARGETS);
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -11,13 +11,12 @@
 use hyper::body::Incoming;
 use platform::headers::AnswerHead;
 use slog::info;
-use tokio::time;
 
 use crate::exchange::{Answer, Exchange, GiveUpReason};
 use crate::logger;
 use crate::pool::Connection;
 
-/// Time without an event after which a stream is resumed at another endpoint, as a multiple of the
+/// Time without an event after which a stream is resumed at another endpoint if possible, as a multiple of the
 /// route's gap target. Callers give up after eight gap targets.
 const IDLE_TIMEOUT_GAPS: f64 = 5.0;
 
@@ -35,7 +34,8 @@
     pub(crate) relay: Relay,
 }
 
-/// Reads a stream, and resumes it at another endpoint if it breaks or stops.
+/// Reads a stream, and resumes it at another endpoint if it breaks, or if it stops and another endpoint
+/// can be tried.
 pub(crate) struct Relay {
     exchange: Exchange,
     source: Option<Source>,
@@ -110,17 +110,15 @@
                 return Ok(Progress::Events);
             }
             let Some(source) = &mut self.source else { return Err(Outcome::Broken) };
-            let time_left = self.exchange.admitted.time_left(self.exchange.context.now());
-            match time::timeout(timeout.min(time_left), source.body.frame()).await {
-                Err(_) => return Err(Outcome::TimedOut),
-                Ok(Some(Err(_))) => return Err(Outcome::Broken),
-                Ok(Some(Ok(frame))) => {
+            match self.exchange.wait(source.body.frame(), timeout).await? {
+                Some(Err(_)) => return Err(Outcome::Broken),
+                Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                     }
                 }
-                Ok(None) if self.splitter.has_partial_event() => return Err(Outcome::Broken),
-                Ok(None) => {
+                None if self.splitter.has_partial_event() => return Err(Outcome::Broken),
+                None => {
                     self.finish();
                     return Ok(Progress::Ended);
                 }
