Go on to another endpoint when a stream's rest is answered with an error

What callers saw: a stream that broke ended incomplete when the next endpoint answered the request for its rest with an error, though its route allows more attempts. (The error's text and head were never passed on: its status and type were checked before.)

Cause: Relay::resume gave up after the first answer that is not an event stream with status 200. It now counts that attempt as failed and asks the next endpoint, as long as attempts, budget and time allow.

Evidence: error_answer_is_no_part_of_a_broken_stream, on the code before: "500 Internal Server Error ..." left: (false, "... event 4\n\n") right: (true, "... event 10\n\n") Its second half, that nothing of the error reaches the caller when no attempt is left, passed before.

--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -150,23 +150,22 @@
         self.exchange.succeed();
     }
 
-    async fn resume(&mut self, outcome: Outcome) -> Result<(), GiveUpReason> {
-        self.exchange.fail(outcome)?;
+    async fn resume(&mut self, mut outcome: Outcome) -> Result<(), GiveUpReason> {
         self.splitter = Splitter::default();
         let last_event_id = self.position.last();
-        let answer = self.exchange.send_until_answered(last_event_id).await?;
-        if !answer.head.is_event_stream || answer.status != StatusCode::OK {
-            return self
-                .exchange
-                .fail(Outcome::Failed)
-                .and(Err(GiveUpReason::Failed(Outcome::Failed)));
+        loop {
+            self.exchange.fail(outcome)?;
+            let answer = self.exchange.send_until_answered(last_event_id).await?;
+            if answer.head.is_event_stream && answer.status == StatusCode::OK {
+                info!(self.exchange.context.logger, "stream continued";
+                    "request" => &self.exchange.admitted.attempt_id, "after_event" => last_event_id,
+                    "endpoint" => self.exchange.admitted.tried.last());
+                let Answer { head, body, connection, .. } = answer;
+                self.source = Some(Source { body, connection, head });
+                return Ok(());
+            }
+            outcome = Outcome::Failed;
         }
-        info!(self.exchange.context.logger, "stream continued";
-            "request" => &self.exchange.admitted.attempt_id, "after_event" => last_event_id,
-            "endpoint" => self.exchange.admitted.tried.last());
-        let Answer { head, body, connection, .. } = answer;
-        self.source = Some(Source { body, connection, head });
-        Ok(())
     }
 
     fn on_broken_stream(&self, reason: GiveUpReason) -> io::Error {
