Keep a stream incomplete that ends after a wrong event

What callers saw: a stream ended as if it were complete although its last events were missing.

Cause: Relay::buffer_events dropped an event with a wrong id if it had read valid events before it in the same piece, and reported these only. If the body ended right after the wrong event, the end of the body was taken for the end of the stream; otherwise a later event failed the check, so that most cases were caught. The relay now remembers that an event could not be passed on, reads no further, and resumes the stream after the last valid event or breaks it off. Events with a wrong first id, repeated events, gaps and ends inside an event were handled before; the tests of these stay.

Evidence: wrong_events_do_not_continue_or_end_a_broken_stream, on the code before, for the rest "id: 5 ... id: 7" where event 6 is due: left: (true, "... event 4\n\nid: 5\ndata: event 5\n\n") right: (true, "... event 10\n\n")

--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -44,6 +44,8 @@
     idle_timeout: Duration,
     /// Complete events that have not been passed to the caller yet.
     buffered: Vec<u8>,
+    /// Whether an event came that cannot be passed on. What follows it is not read.
+    is_out_of_order: bool,
 }
 
 struct Source {
@@ -75,6 +77,7 @@
         position,
         idle_timeout,
         buffered: Vec::new(),
+        is_out_of_order: false,
     };
     match relay.read_events(timeout).await {
         Ok(Progress::Events | Progress::Ended) => Ok(StartedStream { status, headers, relay }),
@@ -128,19 +131,20 @@
 
     fn buffer_events(&mut self) -> Result<bool, Outcome> {
         let len_before = self.buffered.len();
-        loop {
-            let event = self.splitter.next().map_err(|_| Outcome::Broken)?;
-            let Some(event) = event else { break };
-            if self.position.advance(event.id).is_err() {
-                return if self.buffered.len() > len_before {
-                    Ok(true)
-                } else {
-                    Err(Outcome::Broken)
-                };
+        while !self.is_out_of_order {
+            match self.splitter.next() {
+                Ok(None) => break,
+                Ok(Some(event)) if self.position.advance(event.id).is_ok() => {
+                    self.buffered.extend_from_slice(&event.bytes);
+                }
+                Ok(Some(_)) | Err(_) => self.is_out_of_order = true,
             }
-            self.buffered.extend_from_slice(&event.bytes);
         }
-        Ok(self.buffered.len() > len_before)
+        let has_events = self.buffered.len() > len_before;
+        if self.is_out_of_order && !has_events {
+            return Err(Outcome::Broken);
+        }
+        Ok(has_events)
     }
 
     fn finish(&mut self) {
@@ -152,6 +156,7 @@
 
     async fn resume(&mut self, mut outcome: Outcome) -> Result<(), GiveUpReason> {
         self.splitter = Splitter::default();
+        self.is_out_of_order = false;
         let last_event_id = self.position.last();
         loop {
             self.exchange.fail(outcome)?;
