Do not end a broken stream for an empty answer to its continuation

What callers saw: a stream that had broken ended as if it were complete when the next endpoint answered the request for its rest with an event stream without events.

Cause: Relay took the end of any event stream for the end of the whole stream. An endpoint that takes up a broken stream has at least one event left, so an answer without any now counts as a failed attempt: the next endpoint is asked, or the stream ends incomplete.

Evidence: empty_answer_does_not_end_a_broken_stream, on the code before: left: (true, "... event 4\n\n") right: (true, "... event 10\n\n")

--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -46,6 +46,8 @@
     buffered: Vec<u8>,
     /// Whether an event came that cannot be passed on. What follows it is not read.
     is_out_of_order: bool,
+    /// Whether the stream has been resumed and the new endpoint has not sent an event yet.
+    awaits_continuation: bool,
 }
 
 struct Source {
@@ -78,6 +80,7 @@
         idle_timeout,
         buffered: Vec::new(),
         is_out_of_order: false,
+        awaits_continuation: false,
     };
     match relay.read_events(timeout).await {
         Ok(Progress::Events | Progress::Ended) => Ok(StartedStream { status, headers, relay }),
@@ -121,6 +124,8 @@
                     }
                 }
                 None if self.splitter.has_partial_event() => return Err(Outcome::Broken),
+                // An endpoint that takes up a broken stream has at least one event left.
+                None if self.awaits_continuation => return Err(Outcome::Failed),
                 None => {
                     self.finish();
                     return Ok(Progress::Ended);
@@ -144,6 +149,7 @@
         if self.is_out_of_order && !has_events {
             return Err(Outcome::Broken);
         }
+        self.awaits_continuation &= !has_events;
         Ok(has_events)
     }
 
@@ -157,6 +163,7 @@
     async fn resume(&mut self, mut outcome: Outcome) -> Result<(), GiveUpReason> {
         self.splitter = Splitter::default();
         self.is_out_of_order = false;
+        self.awaits_continuation = true;
         let last_event_id = self.position.last();
         loop {
             self.exchange.fail(outcome)?;
