--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -11,13 +11,12 @@
 use hyper::body::Incoming;
 use platform::headers::AnswerHead;
 use slog::info;
-use tokio::time;
 
 use crate::exchange::{Answer, Exchange, GiveUpReason};
 use crate::logger;
 use crate::pool::Connection;
 
-/// Time without an event after which a stream is resumed at another endpoint, as a multiple of the
+/// Time without an event after which a stream is resumed at another endpoint if possible, as a multiple of the
 /// route's gap target. Callers give up after eight gap targets.
 const IDLE_TIMEOUT_GAPS: f64 = 5.0;
 
@@ -35,7 +34,8 @@
     pub(crate) relay: Relay,
 }
 
-/// Reads a stream, and resumes it at another endpoint if it breaks or stops.
+/// Reads a stream, and resumes it at another endpoint if it breaks, or if it stops and another endpoint
+/// can be tried.
 pub(crate) struct Relay {
     exchange: Exchange,
     source: Option<Source>,
@@ -44,6 +44,10 @@
     idle_timeout: Duration,
     /// Complete events that have not been passed to the caller yet.
     buffered: Vec<u8>,
+    /// Whether an event came that cannot be passed on. What follows it is not read.
+    is_out_of_order: bool,
+    /// Whether the stream has been resumed and the new endpoint has not sent an event yet.
+    awaits_continuation: bool,
 }
 
 struct Source {
@@ -75,6 +79,8 @@
         position,
         idle_timeout,
         buffered: Vec::new(),
+        is_out_of_order: false,
+        awaits_continuation: false,
     };
     match relay.read_events(timeout).await {
         Ok(Progress::Events | Progress::Ended) => Ok(StartedStream { status, headers, relay }),
@@ -110,17 +116,17 @@
                 return Ok(Progress::Events);
             }
             let Some(source) = &mut self.source else { return Err(Outcome::Broken) };
-            let time_left = self.exchange.admitted.time_left(self.exchange.context.now());
-            match time::timeout(timeout.min(time_left), source.body.frame()).await {
-                Err(_) => return Err(Outcome::TimedOut),
-                Ok(Some(Err(_))) => return Err(Outcome::Broken),
-                Ok(Some(Ok(frame))) => {
+            match self.exchange.wait(source.body.frame(), timeout).await? {
+                Some(Err(_)) => return Err(Outcome::Broken),
+                Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.splitter.push(data);
                     }
                 }
-                Ok(None) if self.splitter.has_partial_event() => return Err(Outcome::Broken),
-                Ok(None) => {
+                None if self.splitter.has_partial_event() => return Err(Outcome::Broken),
+                // An endpoint that takes up a broken stream has at least one event left.
+                None if self.awaits_continuation => return Err(Outcome::Failed),
+                None => {
                     self.finish();
                     return Ok(Progress::Ended);
                 }
@@ -130,19 +136,21 @@
 
     fn buffer_events(&mut self) -> Result<bool, Outcome> {
         let len_before = self.buffered.len();
-        loop {
-            let event = self.splitter.next().map_err(|_| Outcome::Broken)?;
-            let Some(event) = event else { break };
-            if self.position.advance(event.id).is_err() {
-                return if self.buffered.len() > len_before {
-                    Ok(true)
-                } else {
-                    Err(Outcome::Broken)
-                };
+        while !self.is_out_of_order {
+            match self.splitter.next() {
+                Ok(None) => break,
+                Ok(Some(event)) if self.position.advance(event.id).is_ok() => {
+                    self.buffered.extend_from_slice(&event.bytes);
+                }
+                Ok(Some(_)) | Err(_) => self.is_out_of_order = true,
             }
-            self.buffered.extend_from_slice(&event.bytes);
         }
-        Ok(self.buffered.len() > len_before)
+        let has_events = self.buffered.len() > len_before;
+        if self.is_out_of_order && !has_events {
+            return Err(Outcome::Broken);
+        }
+        self.awaits_continuation &= !has_events;
+        Ok(has_events)
     }
 
     fn finish(&mut self) {
@@ -152,23 +160,24 @@
         self.exchange.succeed();
     }
 
-    async fn resume(&mut self, outcome: Outcome) -> Result<(), GiveUpReason> {
-        self.exchange.fail(outcome)?;
+    async fn resume(&mut self, mut outcome: Outcome) -> Result<(), GiveUpReason> {
         self.splitter = Splitter::default();
+        self.is_out_of_order = false;
+        self.awaits_continuation = true;
         let last_event_id = self.position.last();
-        let answer = self.exchange.send_until_answered(last_event_id).await?;
-        if !answer.head.is_event_stream || answer.status != StatusCode::OK {
-            return self
-                .exchange
-                .fail(Outcome::Failed)
-                .and(Err(GiveUpReason::Failed(Outcome::Failed)));
+        loop {
+            self.exchange.fail(outcome)?;
+            let answer = self.exchange.send_until_answered(last_event_id).await?;
+            if answer.head.is_event_stream && answer.status == StatusCode::OK {
+                info!(self.exchange.context.logger, "stream continued";
+                    "request" => &self.exchange.admitted.attempt_id, "after_event" => last_event_id,
+                    "endpoint" => self.exchange.admitted.tried.last());
+                let Answer { head, body, connection, .. } = answer;
+                self.source = Some(Source { body, connection, head });
+                return Ok(());
+            }
+            outcome = Outcome::Failed;
         }
-        info!(self.exchange.context.logger, "stream continued";
-            "request" => &self.exchange.admitted.attempt_id, "after_event" => last_event_id,
-            "endpoint" => self.exchange.admitted.tried.last());
-        let Answer { head, body, connection, .. } = answer;
-        self.source = Some(Source { body, connection, head });
-        Ok(())
     }
 
     fn on_broken_stream(&self, reason: GiveUpReason) -> io::Error {
