Accept numbers of any size from other writers

The same class: sums of capacities, loads and quota units in reports, a reported wall clock of 2^63 ms, token counts in the headers of callers, a keep-alive time of an endpoint, a maximum of zero replicas (`clamp` with min > max), and durations of a release.

Ruled out by test: deep nesting (serde_json skips unknown fields without recursion and rejects known ones by type) and undecodable entries.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -262,7 +262,7 @@
             organisation: organisation.map(|organisation| organisation.name.clone()),
             release_version: release.version,
             arrived_at: now,
-            deadline: now + time_left,
+            deadline: now.saturating_add(time_left),
             latency_target: route.latency_target,
             gap_target: route.gap_target,
             max_attempts: route.max_attempts.max(1),
@@ -360,7 +360,7 @@
                 let (tokens, latency) = (prompt.unshared_tokens(), now.saturating_sub(sent_at));
                 self.arrival_meter.on_prompt_processed(now, &admitted.service, tokens, latency);
             }
-            let is_late = now > admitted.arrived_at + admitted.latency_target;
+            let is_late = now.saturating_sub(admitted.arrived_at) > admitted.latency_target;
             self.arrival_meter.on_first_event(now, &admitted.service, is_late);
         }
         if let Some(organisation) = &admitted.organisation {
--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -110,12 +110,12 @@
 impl Endpoint {
     /// Unfinished requests of all gateways.
     pub fn requests(&self) -> u32 {
-        self.own_load.requests + self.peer_load.requests
+        self.own_load.requests.saturating_add(self.peer_load.requests)
     }
 
     /// Prompt tokens of requests without a first event, of all gateways.
     pub fn waiting_tokens(&self) -> u64 {
-        self.own_load.waiting_tokens + self.peer_load.waiting_tokens
+        self.own_load.waiting_tokens.saturating_add(self.peer_load.waiting_tokens)
     }
 
     /// Whether it is neither ejected nor refusing requests.
@@ -131,7 +131,7 @@
 
     /// Whether it is still slow after its start.
     pub fn is_warming_up(&self, now: Duration) -> bool {
-        now < self.joined_at + self.entry.warm_up
+        now.saturating_sub(self.joined_at) < self.entry.warm_up
     }
 }
 
@@ -375,7 +375,8 @@
     pub fn on_sent(&mut self, now: Duration, id: &str, waiting_tokens: u64) {
         let Some(endpoint) = self.endpoints.get_mut(id) else { return };
         endpoint.own_load.requests += 1;
-        endpoint.own_load.waiting_tokens += waiting_tokens;
+        let load = &mut endpoint.own_load;
+        load.waiting_tokens = load.waiting_tokens.saturating_add(waiting_tokens);
         endpoint.health.on_sent(now);
     }
 
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -22,7 +22,7 @@
 const MEMBERSHIP_TIMEOUT: Duration = Duration::from_secs(12);
 
 /// Minimum clock difference that is treated as a clock step rather than as delay and drift.
-const CLOCK_STEP_MS: i64 = 300;
+const CLOCK_STEP_MS: u64 = 300;
 
 /// Another gateway with its last report.
 #[derive(Debug, Clone)]
@@ -125,7 +125,7 @@
             }
         }
         self.add_spending(&report);
-        let clock_offset_ms = report.wall_ms as i64 - unix_time.as_millis() as i64;
+        let clock_offset_ms = (report.wall_ms as i64).saturating_sub(unix_time.as_millis() as i64);
         let peer = Peer { address: from, heard_at: now, clock_offset_ms, report };
         self.peers.insert(peer.report.name.clone(), peer);
         true
@@ -142,9 +142,10 @@
         for demand in &report.demands {
             let reported = known.report.demands.iter().filter(|_| is_same_start);
             let reported = reported.filter(|each| each.organisation == demand.organisation);
-            let reported: u64 = reported.map(|each| each.spent_units).sum();
+            let reported = reported.map(|each| each.spent_units).fold(0, u64::saturating_add);
             let spent = demand.spent_units.saturating_sub(reported);
-            *self.spent_units.entry(demand.organisation.clone()).or_default() += spent;
+            let total = self.spent_units.entry(demand.organisation.clone()).or_default();
+            *total = total.saturating_add(spent);
         }
     }
 
@@ -236,8 +237,8 @@
         let mut loads: HashMap<EndpointId, Load> = HashMap::new();
         for each in self.live(now).flat_map(|peer| &peer.report.loads) {
             let load = loads.entry(each.endpoint.clone()).or_default();
-            load.requests += each.requests;
-            load.waiting_tokens += each.waiting_tokens;
+            load.requests = load.requests.saturating_add(each.requests);
+            load.waiting_tokens = load.waiting_tokens.saturating_add(each.waiting_tokens);
         }
         loads
     }
@@ -321,7 +322,7 @@
 
     /// Converts our time of day to the median of all live gateways' clocks.
     pub fn median_unix_time(&self, now: Duration, unix_time: Duration) -> Duration {
-        let wall_ms = unix_time.as_millis() as i64 + self.clock_correction_ms(now);
+        let wall_ms = (unix_time.as_millis() as i64).saturating_add(self.clock_correction_ms(now));
         Duration::from_millis(wall_ms.max(0) as u64)
     }
 
@@ -333,7 +334,7 @@
         offsets_ms.push(0);
         offsets_ms.sort_unstable();
         let median_ms = offsets_ms[offsets_ms.len() / 2];
-        if median_ms.abs() < CLOCK_STEP_MS { 0 } else { median_ms }
+        if median_ms.unsigned_abs() < CLOCK_STEP_MS { 0 } else { median_ms }
     }
 
     fn live(&self, now: Duration) -> impl Iterator<Item = &Peer> {
--- a/forwarding/src/quota.rs
+++ b/forwarding/src/quota.rs
@@ -137,7 +137,7 @@
     match quota.unit {
         Unit::Requests => 1.0,
         Unit::Tokens { unnamed_tokens } => prompt.map_or(unnamed_tokens, |prompt| {
-            (prompt.input_tokens + prompt.max_output_tokens) as f64
+            prompt.input_tokens as f64 + prompt.max_output_tokens as f64
         }),
     }
 }
--- a/forwarding/src/scaling.rs
+++ b/forwarding/src/scaling.rs
@@ -280,7 +280,7 @@
         // The replicas left after a reclaim in one data centre must suffice.
         let remaining = (scaling.prices.len() as u32 - 1).max(1);
         let per_data_centre =
-            |needed: u32| needed.div_ceil(remaining).clamp(1, scaling.max_replicas);
+            |needed: u32| needed.div_ceil(remaining).max(1).min(scaling.max_replicas);
         let min_replicas = per_data_centre(needed);
         let max_replicas = per_data_centre((f64::from(needed) * SHRINK_MARGIN).ceil() as u32);
         let present = count(input, true);
@@ -315,7 +315,7 @@
             .keys()
             .map(|name| (name.clone(), self.expected_replicas(now, input, &present, name, false)))
             .collect();
-        let total: u32 = targets.values().sum();
+        let total = targets.values().copied().fold(0, u32::saturating_add);
         let min_on_demand = (f64::from(needed) * ON_DEMAND_SHARE).ceil() as u32;
         // Reclaims come in waves: the data centre with the most reclaimable replicas may be next.
         let reclaimable_total: u32 = reclaimable.values().sum();
@@ -335,7 +335,8 @@
                 self.expected_replicas(now, input, &reclaimable, name, true).max(planned);
             let target = targets.entry((*name).clone()).or_default();
             let min_here = scaling.min_replicas.saturating_sub(reclaimable_here);
-            let headroom = scaling.max_replicas.saturating_sub(reclaimable_expected + *target);
+            let headroom =
+                scaling.max_replicas.saturating_sub(reclaimable_expected.saturating_add(*target));
             let added = missing.min(headroom).max(min_here.saturating_sub(*target));
             *target += added;
             missing = missing.saturating_sub(added);
@@ -363,7 +364,7 @@
     ) -> u32 {
         let present = present.get(data_centre).copied().unwrap_or_default();
         match self.ordered.get(&group(input, data_centre, is_reclaimable)) {
-            Some(ordered) if now < ordered.at + input.scaling.boot_time + ORDER_REPEAT_DELAY => {
+            Some(ordered) if now.saturating_sub(ordered.at) < repeat_delay(input.scaling) => {
                 ordered.replicas
             }
             _ => present,
@@ -405,7 +406,7 @@
             None => present != replicas,
             Some(ordered) if ordered.replicas != replicas => true,
             Some(ordered) => {
-                let is_overdue = now >= ordered.at + input.scaling.boot_time + ORDER_REPEAT_DELAY;
+                let is_overdue = now.saturating_sub(ordered.at) >= repeat_delay(input.scaling);
                 present < replicas && (ordered.was_met || is_overdue)
             }
         }
@@ -426,6 +427,11 @@
     ((half * half + slots).sqrt() - half).powi(2)
 }
 
+/// Time after which an order without effect is repeated.
+fn repeat_delay(scaling: &ScalingPolicy) -> Duration {
+    scaling.boot_time.saturating_add(ORDER_REPEAT_DELAY)
+}
+
 fn group(input: &PlanInput<'_>, data_centre: &str, is_reclaimable: bool) -> ReplicaGroup {
     ReplicaGroup {
         service: input.service.to_owned(),
@@ -485,19 +491,20 @@
         let for_prompts = input.arrivals.tokens_per_s
             / self.tokens_per_s_per_replica
             / prompt_utilisation(input.report_interval);
-        let capacity: u32 = input.endpoints.iter().map(|endpoint| endpoint.entry.capacity).sum();
-        if capacity == 0 {
+        let capacities = input.endpoints.iter().map(|endpoint| f64::from(endpoint.entry.capacity));
+        let capacity: f64 = capacities.sum();
+        if capacity == 0.0 {
             return for_prompts;
         }
-        let slots_per_replica = f64::from(capacity) / input.endpoints.len() as f64;
+        let slots_per_replica = capacity / input.endpoints.len() as f64;
         for_prompts.max(input.arrivals.requests_in_progress() / usable_slots(slots_per_replica))
     }
 
     fn is_backlogged(&self, input: &PlanInput<'_>) -> bool {
-        let waiting_tokens: u64 =
-            input.endpoints.iter().map(|endpoint| endpoint.waiting_tokens()).sum();
+        let waiting_tokens: f64 =
+            input.endpoints.iter().map(|endpoint| endpoint.waiting_tokens() as f64).sum();
         let tokens_per_s = self.tokens_per_s_per_replica * input.endpoints.len() as f64;
-        waiting_tokens as f64 > tokens_per_s * BACKLOG_TIME.as_secs_f64()
+        waiting_tokens > tokens_per_s * BACKLOG_TIME.as_secs_f64()
     }
 }
 
--- a/forwarding/src/usage.rs
+++ b/forwarding/src/usage.rs
@@ -86,7 +86,8 @@
         let mut total = self.own.get(&window).cloned().unwrap_or_default();
         for counts in self.peers.values().filter_map(|windows| windows.get(&window)) {
             for (organisation, count) in counts {
-                *total.entry(organisation.clone()).or_default() += count;
+                let sum: &mut u64 = total.entry(organisation.clone()).or_default();
+                *sum = sum.saturating_add(*count);
             }
         }
         total
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -286,7 +286,7 @@
         data_centre: entry.data_centre.clone(),
         capacity: entry.capacity,
         is_reclaimable: entry.is_reclaimable,
-        warm_up_ms: entry.warm_up.as_millis() as u64,
+        warm_up_ms: u64::try_from(entry.warm_up.as_millis()).unwrap_or(u64::MAX),
         born_ms: entry.process_start_ms,
         sequence: entry.sequence,
     }
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -21,6 +21,9 @@
 /// Keep-alive time that is assumed if the endpoint states none.
 const DEFAULT_KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Maximum time for which an idle connection is kept, whatever the endpoint states.
+const MAX_KEEP_ALIVE_TIMEOUT: Duration = Duration::from_secs(3_600);
+
 /// Fraction of the keep-alive time after which an idle connection is closed, so that the endpoint
 /// does not close it while a request is being sent.
 const KEEP_ALIVE_SHARE: f64 = 0.6;
@@ -100,8 +103,9 @@
             return;
         }
         connection.is_reused = true;
-        let lifetime =
-            keep_alive_timeout.unwrap_or(DEFAULT_KEEP_ALIVE_TIMEOUT).mul_f64(KEEP_ALIVE_SHARE);
+        let timeout =
+            keep_alive_timeout.unwrap_or(DEFAULT_KEEP_ALIVE_TIMEOUT).min(MAX_KEEP_ALIVE_TIMEOUT);
+        let lifetime = timeout.mul_f64(KEEP_ALIVE_SHARE);
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.entry(target.id.clone()).or_default();
         if connections.len() < MAX_IDLE_PER_ENDPOINT {
