Count a refusal as not run only if it belongs to the request

Callers were told "not run, try again" for an unsafe request that a replica had run, or it ran at a second replica: the gateway accepted status 421 and `Not-Executed` before it compared `Attempt-Id`. A replica that writes an earlier refusal once more, on a connection that carries another request, thus refused that request.

A refusal is now subject to the same check as any other answer. Without an id it counts only as the first answer on a new connection, where it cannot belong to another request. Otherwise the request may have run, and connections to the endpoint are not reused for a while. A success with `Not-Executed` contradicts itself and counts as broken.

Ruled out: a refusal on an idle connection, which the connection task rejects (the tests cover it), and the reuse of a connection after a refusal, which is closed with the answer.

Two of the four tests in stray_refusals.rs failed before: "left: (200, 1, 1)" for a success marked as not run, and the unsafe request ran twice ("AtOnce 503 Service Unavailable, Attempt-Id: earlier"). All four pass now; `cargo test -p platform` passes.

--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -282,13 +282,12 @@
     }
 
     fn validate(&self, target: &Target, answer: Answer) -> Result<Answer, Outcome> {
-        if answer.status == StatusCode::MISDIRECTED_REQUEST {
-            return Err(Outcome::Misdirected);
-        }
-        if answer.head.is_not_run {
-            return Err(Outcome::Refused);
-        }
-        let is_own = answer.head.attempt_id.as_deref() == Some(self.admitted.attempt_id.as_str());
+        let is_refusal = answer.head.is_not_run || answer.status == StatusCode::MISDIRECTED_REQUEST;
+        let is_own = match answer.head.attempt_id.as_deref() {
+            Some(id) => id == self.admitted.attempt_id,
+            // On a connection that carried no other request, it cannot belong to one.
+            None => is_refusal && !answer.connection.is_reused,
+        };
         if !is_own {
             let now = self.context.now();
             self.context.dispatcher().on_stray_bytes(now, &target.id);
@@ -297,7 +296,13 @@
                 "answered" => answer.head.attempt_id.as_deref().unwrap_or("none"));
             return Err(Outcome::Broken);
         }
-        if !answer.head.is_signed || answer.head.is_encoded {
+        if answer.status == StatusCode::MISDIRECTED_REQUEST {
+            return Err(Outcome::Misdirected);
+        }
+        if answer.head.is_not_run && !answer.status.is_success() {
+            return Err(Outcome::Refused);
+        }
+        if answer.head.is_not_run || !answer.head.is_signed || answer.head.is_encoded {
             return Err(Outcome::Broken);
         }
         Ok(answer)
