Stop sending to an endpoint that says in an answer that it leaves

Callers saw requests go to an endpoint that had said in its answers that it leaves: only its entry in the store, or a report, ended its use. An entry may stay "ready" for long, and an endpoint may leave while the store does not answer.

Ruled out: late entries of the same process were refused already, and retries or resumes select the endpoint anew, so there is no second path.

Every answer to the request itself counts, whatever its status and even if it breaks off later; answers to another request and misdirected ones say nothing. The departure is recorded for the process start, reported to the other gateways and closes idle connections. Departures move to a module of their own: one that the endpoint stated is kept for as long as the store lists the process, instead of two minutes. A process without a known start cannot be told from the next one, so there the two minutes stay.

Evidence: without the call of apply_notices, the end-to-end tests failed, e.g. "replica_that_says_it_leaves_gets_no_further_requests_from_any_gateway: left: 20, right: 0"; with it, all five pass.

--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -11,6 +11,7 @@
 
 use rhubarbrock::health::{self, Health, Status};
 
+use crate::departures::Departures;
 use crate::release::ServiceName;
 use crate::suspects;
 
@@ -24,9 +25,6 @@
 /// platform promises about two seconds.
 const RENEWAL_AFTER_OUTAGE: Duration = Duration::from_millis(2_300);
 
-/// Time for which a departure is remembered; entries older than this are not replayed.
-const DEPARTURE_RETENTION: Duration = Duration::from_secs(120);
-
 /// Weight of a new answer in the smoothed failure rate, which covers about the last ten answers.
 const FAILURE_RATE_WEIGHT: f64 = 0.1;
 
@@ -135,18 +133,12 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Departure {
-    process_start_ms: ProcessStartMs,
-    at: Duration,
-}
-
 /// All known endpoints.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     latest: HashMap<EndpointId, (ProcessStartMs, u64)>,
-    departures: BTreeMap<EndpointId, Departure>,
+    departures: Departures,
     store_available_at: Option<Duration>,
     is_store_unavailable: bool,
     /// Whether a complete list of entries was read from the store.
@@ -157,6 +149,7 @@
     /// Applies an entry from the store or from another gateway.
     pub fn on_entry(&mut self, now: Duration, entry: Entry) -> Change {
         if !self.is_newer(&entry) {
+            self.departures.on_listed(&entry.id, entry.process_start_ms);
             return Change::None;
         }
         self.latest.insert(entry.id.clone(), (entry.process_start_ms, entry.sequence));
@@ -179,10 +172,7 @@
     }
 
     fn is_newer(&self, entry: &Entry) -> bool {
-        let is_departed = self
-            .departures
-            .get(&entry.id)
-            .is_some_and(|departure| entry.process_start_ms <= departure.process_start_ms);
+        let is_departed = self.departures.has_left(&entry.id, entry.process_start_ms);
         let is_old = self
             .latest
             .get(&entry.id)
@@ -192,6 +182,7 @@
 
     /// Applies the removal of an entry.
     pub fn on_removed(&mut self, now: Duration, id: &str) -> Change {
+        self.departures.on_unlisted(now, id);
         let renewal_end = self.renewal_end(now);
         let Some(endpoint) = self.endpoints.get_mut(id) else { return Change::None };
         if let Some(until) = renewal_end {
@@ -238,6 +229,7 @@
             let id = entry.id.clone();
             changes.push((id, self.on_entry(now, entry)));
         }
+        self.departures.on_listing(now, |id| present.contains(id));
         let missing: Vec<EndpointId> =
             self.endpoints.keys().filter(|id| !present.contains(id)).cloned().collect();
         for id in missing {
@@ -255,14 +247,25 @@
         id: &str,
         process_start_ms: ProcessStartMs,
     ) -> Change {
-        let is_known =
-            self.departures.get(id).is_some_and(|known| known.process_start_ms >= process_start_ms);
-        if is_known {
+        if self.departures.has_left(id, process_start_ms) {
             return Change::None;
         }
         self.record_departure(now, id, process_start_ms, Change::Leaving)
     }
 
+    /// Applies an answer in which an endpoint process says that it leaves. Its entries are refused
+    /// for as long as the store lists them.
+    pub fn on_leaving_answer(
+        &mut self,
+        now: Duration,
+        id: &str,
+        process_start_ms: ProcessStartMs,
+    ) -> Change {
+        let change = self.on_peer_departure(now, id, process_start_ms);
+        self.departures.keep_while_listed(id, process_start_ms);
+        change
+    }
+
     fn record_departure(
         &mut self,
         now: Duration,
@@ -270,7 +273,7 @@
         process_start_ms: ProcessStartMs,
         change: Change,
     ) -> Change {
-        self.departures.insert(id.to_owned(), Departure { process_start_ms, at: now });
+        self.departures.record(now, id, process_start_ms);
         let is_this_process = self
             .endpoints
             .get(id)
@@ -320,10 +323,10 @@
         for (id, process_start_ms) in &lapsed {
             self.record_departure(now, id, *process_start_ms, Change::Gone);
         }
-        self.departures.retain(|_, departure| now < departure.at + DEPARTURE_RETENTION);
+        self.departures.remove_expired(now);
         let endpoints = &self.endpoints;
         let departures = &self.departures;
-        self.latest.retain(|id, _| endpoints.contains_key(id) || departures.contains_key(id));
+        self.latest.retain(|id, _| endpoints.contains_key(id) || departures.contains(id));
         lapsed.into_iter().map(|(id, _)| id).collect()
     }
 
@@ -346,11 +349,7 @@
         now: Duration,
         window: Duration,
     ) -> Vec<(EndpointId, ProcessStartMs)> {
-        self.departures
-            .iter()
-            .filter(|(_, departure)| now < departure.at + window)
-            .map(|(id, departure)| (id.clone(), departure.process_start_ms))
-            .collect()
+        self.departures.recent(now, window)
     }
 
     /// Endpoint by id.
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod arrivals;
 pub mod catch_up;
+mod departures;
 pub mod dispatcher;
 pub mod endpoints;
 pub mod event_stream;
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use forwarding::dispatcher::{AdmittedRequest, Outcome, Target};
+use forwarding::endpoints::Change;
 use forwarding::refusal::RefusalReason;
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -197,6 +198,7 @@
     pub(crate) fn return_connection(&self, connection: Connection, head: &AnswerHead) {
         if let Some(current_attempt) = &self.current_attempt
             && !head.closes_connection
+            && !head.is_leaving
         {
             self.context.pool.check_in(
                 &current_attempt.target,
@@ -228,7 +230,10 @@
                 Err(SendError::NotSent) if is_reused => may_reuse = false,
                 Err(SendError::NotSent) => return Err(Outcome::Unreachable),
                 Err(SendError::Sent(outcome)) => return Err(outcome),
-                Ok(answer) => return self.validate(&target, answer),
+                Ok(answer) => {
+                    self.apply_notices(&target, &answer);
+                    return self.validate(&target, answer);
+                }
             }
         }
     }
@@ -281,6 +286,26 @@
         time_left.min(time_left.mul_f64(FIRST_EVENT_TIMEOUT_SHARE).max(min_timeout))
     }
 
+    /// Applies what an endpoint says of itself in an answer to this request.
+    fn apply_notices(&self, target: &Target, answer: &Answer) {
+        // Another endpoint at the same address says nothing of the selected one.
+        let is_from_target = answer.status != StatusCode::MISDIRECTED_REQUEST
+            && answer.head.attempt_id.as_deref() == Some(self.admitted.attempt_id.as_str());
+        if !is_from_target {
+            return;
+        }
+        let Target { id, process_start_ms, .. } = target;
+        let now = self.context.now();
+        if answer.head.is_leaving {
+            let endpoints = &mut self.context.dispatcher().endpoints;
+            if endpoints.on_leaving_answer(now, id, *process_start_ms) != Change::None {
+                info!(self.context.logger, "endpoint leaving according to its answer";
+                    "request" => &self.admitted.attempt_id, "endpoint" => id);
+            }
+            self.context.pool.remove(id);
+        }
+    }
+
     fn validate(&self, target: &Target, answer: Answer) -> Result<Answer, Outcome> {
         if answer.status == StatusCode::MISDIRECTED_REQUEST {
             return Err(Outcome::Misdirected);
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Closes all idle connections to an endpoint.
+    pub(crate) fn remove(&self, endpoint: &str) {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).remove(endpoint);
+    }
+
     /// Closes expired connections. Returns the ids of endpoints that sent bytes on idle connections.
     pub(crate) fn remove_expired(&self) -> Vec<String> {
         let now = Instant::now();
