Count requests as open from the head to the last byte of the answer

The log lines of a shutdown named the number of admitted requests only, so they could not tell a request whose body was still being read, or an answer that was still being written, from a gateway with nothing to do. They now name open requests by stage (reading the body, running, answering), the number of admitted ones as before, and callers' connections, at the start of each phase and at the end. Nothing waits for the new counts yet.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::clock::BootClock;
+use crate::open_requests::Counters;
 use crate::pool::Pool;
 use crate::shutdown::Phase;
 
@@ -27,9 +28,11 @@
     /// Whether this gateway holds the lease on the duties.
     pub(crate) holds_lease: AtomicBool,
     /// Number of admitted requests that are not finished.
-    pub(crate) open_requests: AtomicUsize,
+    pub(crate) admitted_requests: AtomicUsize,
     /// Total length of the bodies of these requests.
     pub(crate) body_bytes: AtomicUsize,
+    /// Requests that are not completely answered, and callers' connections.
+    pub(crate) open_requests: Arc<Counters>,
     /// Phase of the shutdown.
     pub(crate) phase: watch::Receiver<Phase>,
     /// Encoded release in force, as read from the store; empty if there is none.
@@ -66,8 +69,9 @@
             logger,
             incarnation: clock.unix_time().as_nanos() as u64,
             holds_lease: AtomicBool::new(false),
-            open_requests: AtomicUsize::new(0),
+            admitted_requests: AtomicUsize::new(0),
             body_bytes: AtomicUsize::new(0),
+            open_requests: Arc::default(),
             phase,
             release_record: Mutex::new(Bytes::new()),
         };
@@ -103,24 +107,24 @@
         *self.release_record.lock().unwrap_or_else(PoisonError::into_inner) = record;
     }
 
-    /// Counts a request as open until the guard is dropped.
-    pub(crate) fn open_request(&self, body_bytes: usize) -> OpenRequest {
-        self.open_requests.fetch_add(1, Ordering::Relaxed);
+    /// Counts an admitted request and its body until the guard is dropped.
+    pub(crate) fn count_admitted(&self, body_bytes: usize) -> AdmittedCount {
+        self.admitted_requests.fetch_add(1, Ordering::Relaxed);
         self.body_bytes.fetch_add(body_bytes, Ordering::Relaxed);
-        OpenRequest { context: self.clone(), body_bytes }
+        AdmittedCount { context: self.clone(), body_bytes }
     }
 }
 
-/// Guard that counts one request as open.
+/// Guard that counts one admitted request and its body.
 #[derive(Debug)]
-pub(crate) struct OpenRequest {
+pub(crate) struct AdmittedCount {
     context: Context,
     body_bytes: usize,
 }
 
-impl Drop for OpenRequest {
+impl Drop for AdmittedCount {
     fn drop(&mut self) {
-        self.context.open_requests.fetch_sub(1, Ordering::Relaxed);
+        self.context.admitted_requests.fetch_sub(1, Ordering::Relaxed);
         self.context.body_bytes.fetch_sub(self.body_bytes, Ordering::Relaxed);
     }
 }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -12,7 +12,7 @@
 use slog::{info, warn};
 use tokio::time;
 
-use crate::context::{Context, OpenRequest};
+use crate::context::{AdmittedCount, Context};
 use crate::logger;
 use crate::pool::Connection;
 
@@ -69,7 +69,7 @@
     pub(crate) admitted: AdmittedRequest,
     pub(crate) outgoing: OutgoingRequest,
     pub(crate) current_attempt: Option<CurrentAttempt>,
-    _open_request: OpenRequest,
+    _admitted_count: AdmittedCount,
 }
 
 impl Drop for Exchange {
@@ -98,8 +98,14 @@
         admitted: AdmittedRequest,
         outgoing: OutgoingRequest,
     ) -> Exchange {
-        let open_request = context.open_request(outgoing.body.len());
-        Exchange { context, admitted, outgoing, current_attempt: None, _open_request: open_request }
+        let admitted_count = context.count_admitted(outgoing.body.len());
+        Exchange {
+            context,
+            admitted,
+            outgoing,
+            current_attempt: None,
+            _admitted_count: admitted_count,
+        }
     }
 
     /// Sends the request to one endpoint after another until one answers or no further attempt is
--- a/gateway/src/frontend.rs
+++ b/gateway/src/frontend.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
@@ -20,7 +21,7 @@
 use http_body_util::{BodyExt, Full, Limited, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioTimer;
 use platform::headers;
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -29,6 +30,7 @@
 use crate::context::Context;
 use crate::exchange::{Exchange, GiveUpReason, OutgoingRequest};
 use crate::logger;
+use crate::open_requests::{CallerStream, OpenRequest, Stage};
 use crate::relay::{self, Relay};
 use crate::shutdown::{self, Phase};
 
@@ -68,13 +70,16 @@
     }
     let limits = limits(&context.dispatcher());
     let mut closing = shutdown::wait_until_closing(context.phase.clone());
-    let service =
-        hyper::service::service_fn(move |request| respond(context.clone(), request, caller));
+    let stream = CallerStream::new(stream, Arc::clone(&context.open_requests));
+    let opener = stream.opener();
+    let service = hyper::service::service_fn(move |request| {
+        respond(context.clone(), opener.open(), request, caller)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout * HEADER_READ_TIMEOUT_FACTOR)
         .max_buf_size(limits.max_header_bytes.max(8 * 1024))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(stream, service);
     tokio::pin!(connection);
     let mut is_closing = false;
     loop {
@@ -95,11 +100,13 @@
 
 async fn respond(
     context: Context,
+    open_request: OpenRequest,
     request: http::Request<Incoming>,
     caller: SocketAddr,
 ) -> anyhow::Result<Response<Body>> {
     let mut state = State::from_request(request, caller);
     state.put(context.clone());
+    state.put(open_request);
     let mut response = gotham::service::call_handler(Forward, AssertUnwindSafe(state)).await?;
     if context.phase() != Phase::Serving {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -131,12 +138,14 @@
     let uri = Uri::take_from(&mut state);
     let headers = HeaderMap::take_from(&mut state);
     let body = Body::take_from(&mut state);
-    let response = forward(&context, method, uri, headers, body).await;
-    Ok((state, response))
+    let mut open_request = OpenRequest::take_from(&mut state);
+    let response = forward(&context, &mut open_request, method, uri, headers, body).await;
+    Ok((state, response.map(|body| open_request.answer_with(body))))
 }
 
 async fn forward(
     context: &Context,
+    open_request: &mut OpenRequest,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -162,6 +171,7 @@
             return error_response(status, None, reason);
         }
     };
+    open_request.set_stage(Stage::Running);
     let admission = match context.phase() {
         Phase::Closing => Err(RefusalReason::Stopping),
         Phase::Serving | Phase::Leaving => context.dispatcher().admit(arrived_at, &request, &body),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod handover;
 mod logger;
 mod monitoring;
+mod open_requests;
 mod pool;
 mod relay;
 mod reporter;
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -10,6 +10,7 @@
 use tokio::time;
 
 use crate::context::Context;
+use crate::open_requests::Stage;
 
 /// Time after SIGTERM in which requests are accepted. The load balancer stops sending requests after
 /// two failed readiness checks, one second apart. A request that arrives three seconds after SIGTERM
@@ -61,9 +62,10 @@
 pub(crate) async fn run(context: Context, phase: watch::Sender<Phase>) {
     let grace = context.dispatcher().settings.bounds.grace;
     let started_at = context.now();
-    info!(context.logger, "leaving"; "open_requests" => open_requests(&context));
+    log_phase(&context, "leaving");
     phase.send_replace(Phase::Leaving);
     time::sleep(LEAVING_PERIOD.min(grace / 2)).await;
+    log_phase(&context, "closing");
     phase.send_replace(Phase::Closing);
     let deadline = started_at + grace.saturating_sub(GRACE_MARGIN);
     while context.now() < deadline && open_requests(&context) > 0 {
@@ -71,9 +73,18 @@
     }
     // Gives the connection tasks time to write the last answers.
     time::sleep(POLL_INTERVAL).await;
-    info!(context.logger, "stopped"; "open_requests" => open_requests(&context));
+    log_phase(&context, "stopped");
 }
 
 fn open_requests(context: &Context) -> usize {
-    context.open_requests.load(Ordering::Relaxed)
+    context.admitted_requests.load(Ordering::Relaxed)
+}
+
+fn log_phase(context: &Context, phase: &'static str) {
+    let open = &context.open_requests;
+    info!(context.logger, "{}", phase; "open_requests" => open.total(),
+        "reading_body" => open.in_stage(Stage::ReadingBody),
+        "running" => open.in_stage(Stage::Running),
+        "answering" => open.in_stage(Stage::Answering),
+        "admitted" => open_requests(context), "connections" => open.connections());
 }
