Report usage windows that ended after a restoration

Only records of before the restoration can be lost, so the limit is now the first window that was still open when the content of the partition was read, by the delay after which windows are recorded. The reading is a struct, as it has three parts that belong together.

--- a/forwarding/src/lease.rs
+++ b/forwarding/src/lease.rs
@@ -14,8 +14,8 @@
 //! When the log is restored from a copy, which begins a new era, the record of
 //! the holder may be gone. The holder writes it again while its lease lasts.
 //! The others wait for the lease time even if the restored record is their own
-//! or there is none. The next holder drops the windows up to then, as the lost
-//! records may have had other counts.
+//! or there is none. The next holder drops the windows before the restoration,
+//! as the lost records may have had other counts.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -30,7 +30,7 @@
 const RENEWAL_DIVISOR: u32 = 3;
 
 /// Maximum drift between the clocks of two instances during one lease.
-const CLOCK_MARGIN: Duration = Duration::from_millis(300);
+pub const CLOCK_MARGIN: Duration = Duration::from_millis(300);
 
 /// Delay per rank before a gateway tries to take a free lease.
 const RANK_DELAY: Duration = Duration::from_millis(300);
@@ -84,12 +84,25 @@
     Unknown,
 }
 
+/// Content of the partition, as read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PartitionContent {
+    /// Era of the log.
+    pub era: StoreEra,
+    /// End of the partition.
+    pub end: Offset,
+    /// Newest record.
+    pub record: Option<LeaseRecord>,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct PartitionState {
     era: StoreEra,
     end: Offset,
     record: Option<LeaseRecord>,
     known_since: Duration,
+    /// First window that no earlier record can contain.
+    open_window: WindowIndex,
 }
 
 impl PartitionState {
@@ -159,15 +172,14 @@
     }
 
     /// Decides the next step. `has_live_holder` is whether another gateway reports that it holds
-    /// the lease, `rank` the position of this gateway among the candidates, `due_window` a window
-    /// whose counts are to be recorded, and `ended_window` the latest window that has ended.
+    /// the lease, `rank` the position of this gateway among the candidates, and `due_window` a
+    /// window whose counts are to be recorded.
     pub fn step(
         &mut self,
         now: Duration,
         has_live_holder: bool,
         rank: u32,
         due_window: Option<(WindowIndex, RequestCounts)>,
-        ended_window: WindowIndex,
     ) -> Step {
         if self.pending_append.is_some() {
             return Step::Wait;
@@ -202,7 +214,10 @@
             Some(record) if is_current => record.windows.clone(),
             _ if is_current => BTreeMap::new(),
             // An empty window keeps this holder and later ones from reporting it or earlier ones.
-            _ => BTreeMap::from([(ended_window, RequestCounts::new())]),
+            _ => {
+                let last_closed = partition.open_window.saturating_sub(1);
+                BTreeMap::from([(last_closed, RequestCounts::new())])
+            }
         };
         let record = LeaseRecord {
             holder: self.name.clone(),
@@ -243,16 +258,12 @@
         Step::Append { at, record }
     }
 
-    /// Takes the newest record and the end of the partition, as read at `now` in this era.
-    pub fn on_read(
-        &mut self,
-        now: Duration,
-        era: StoreEra,
-        end: Offset,
-        record: Option<LeaseRecord>,
-    ) {
+    /// Takes the content of the partition, as read at `now`. `open_window` is the first window whose
+    /// counts no holder can have recorded yet.
+    pub fn on_read(&mut self, now: Duration, read: PartitionContent, open_window: WindowIndex) {
         self.must_read = false;
-        let mut read = PartitionState { era, end, record, known_since: now };
+        let PartitionContent { era, end, record } = read;
+        let mut read = PartitionState { era, end, record, known_since: now, open_window };
         let is_own = read.record.as_ref().is_some_and(|record| self.is_own(record));
         if self.is_held(now) && !read.is_current() {
             // No other gateway has taken the lease in this era. What this one holds is newer.
@@ -278,8 +289,11 @@
         }
         match outcome {
             AppendOutcome::Done(end) => {
-                let record = Some(record);
-                self.partition = Some(PartitionState { era, end, record, known_since: sent_at });
+                if let Some(partition) = &mut self.partition {
+                    partition.end = end;
+                    partition.record = Some(record);
+                    partition.known_since = sent_at;
+                }
                 self.renewed_at = sent_at;
                 self.held_until = Some(sent_at + self.duration);
                 self.must_read = false;
--- a/forwarding/tests/lease.rs
+++ b/forwarding/tests/lease.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use forwarding::lease::{AppendOutcome, Lease, LeaseRecord, Step};
+use forwarding::lease::{AppendOutcome, Lease, LeaseRecord, PartitionContent, Step};
 use forwarding::store_role::StoreEra;
 use forwarding::usage::{RequestCounts, WindowIndex};
 use support::ms;
@@ -59,6 +59,10 @@
     }
 }
 
+fn read(era: StoreEra, end: u64, record: Option<LeaseRecord>) -> PartitionContent {
+    PartitionContent { era, end, record }
+}
+
 fn counts(window: WindowIndex, gateway: usize) -> RequestCounts {
     BTreeMap::from([("acme".to_owned(), window * 10 + gateway as u64)])
 }
@@ -133,13 +137,14 @@
             });
             let window = at_ms / 5_000;
             let due = Some((window, counts(window, gateway)));
-            let ended = window.saturating_sub(1);
-            match leases[gateway].step(now, has_live_holder, gateway as u32, due, ended) {
+            match leases[gateway].step(now, has_live_holder, gateway as u32, due) {
                 Step::Wait => {}
                 Step::Read if random.below(5) == 0 => {}
                 Step::Read => {
                     let end = log.records.len() as u64;
-                    leases[gateway].on_read(now, log.era, end, log.records.last().cloned());
+                    let record = log.records.last().cloned();
+                    let read = PartitionContent { era: log.era, end, record };
+                    leases[gateway].on_read(now, read, window + 1);
                 }
                 Step::Append { at, record } => {
                     let is_done = random.below(6) != 0;
@@ -193,15 +198,15 @@
 #[test]
 fn holder_writes_lost_record_again_while_its_lease_lasts() {
     let mut lease = Lease::new("g".to_owned(), 1, LEASE);
-    lease.on_read(ms(0), 0, 0, None);
-    let Step::Append { .. } = lease.step(ms(0), false, 0, None, 0) else { panic!() };
+    lease.on_read(ms(0), read(0, 0, None), 6);
+    let Step::Append { .. } = lease.step(ms(0), false, 0, None) else { panic!() };
     lease.on_append_outcome(ms(0), 0, AppendOutcome::Done(1));
     let due = Some((7, counts(7, 0)));
-    let Step::Append { record, .. } = lease.step(ms(100), false, 0, due, 7) else { panic!() };
+    let Step::Append { record, .. } = lease.step(ms(100), false, 0, due) else { panic!() };
     lease.on_append_outcome(ms(100), 0, AppendOutcome::Done(2));
-    lease.on_read(ms(1_000), 1, 0, None);
+    lease.on_read(ms(1_000), read(1, 0, None), 9);
     assert!(lease.may_act(ms(1_000)));
-    let Step::Append { at, record: again } = lease.step(ms(1_000), false, 0, None, 8) else {
+    let Step::Append { at, record: again } = lease.step(ms(1_000), false, 0, None) else {
         panic!()
     };
     assert_eq!((at, &again.windows), (0, &record.windows));
@@ -215,11 +220,9 @@
     let own = LeaseRecord { holder: "g".to_owned(), epoch: 1, ..LeaseRecord::default() };
     for record in [None, Some(own)] {
         let mut lease = Lease::new("g".to_owned(), 2, LEASE);
-        lease.on_read(ms(0), 1, 1, record);
-        assert_eq!(lease.step(ms(3_800), false, 0, None, 5), Step::Wait);
-        let Step::Append { record, .. } = lease.step(ms(6_000), false, 0, None, 5) else {
-            panic!()
-        };
+        lease.on_read(ms(0), read(1, 1, record), 6);
+        assert_eq!(lease.step(ms(3_800), false, 0, None), Step::Wait);
+        let Step::Append { record, .. } = lease.step(ms(6_000), false, 0, None) else { panic!() };
         assert_eq!(record.windows, BTreeMap::from([(5, RequestCounts::new())]));
     }
 }
@@ -227,11 +230,11 @@
 #[test]
 fn restarted_holder_retakes_lease_with_higher_epoch() {
     let mut old = Lease::new("g".to_owned(), 1, LEASE);
-    old.on_read(ms(0), 0, 0, None);
-    let Step::Append { record, .. } = old.step(ms(0), false, 0, None, 0) else { panic!() };
+    old.on_read(ms(0), read(0, 0, None), 6);
+    let Step::Append { record, .. } = old.step(ms(0), false, 0, None) else { panic!() };
     let mut new = Lease::new("g".to_owned(), 2, LEASE);
-    new.on_read(ms(50), 0, 1, Some(record.clone()));
-    let Step::Append { at, record: new_record } = new.step(ms(50), false, 0, None, 0) else {
+    new.on_read(ms(50), read(0, 1, Some(record.clone())), 6);
+    let Step::Append { at, record: new_record } = new.step(ms(50), false, 0, None) else {
         panic!()
     };
     assert_eq!(at, 1);
@@ -242,7 +245,7 @@
 fn waits_until_lease_of_other_holder_expires() {
     let record = LeaseRecord { holder: "other".to_owned(), epoch: 1, ..LeaseRecord::default() };
     let mut lease = Lease::new("g".to_owned(), 2, LEASE);
-    lease.on_read(ms(0), 0, 1, Some(record));
-    assert_eq!(lease.step(ms(2_900), false, 0, None, 0), Step::Wait);
-    assert!(matches!(lease.step(ms(6_000), false, 0, None, 0), Step::Append { .. }));
+    lease.on_read(ms(0), read(0, 1, Some(record)), 6);
+    assert_eq!(lease.step(ms(2_900), false, 0, None), Step::Wait);
+    assert!(matches!(lease.step(ms(6_000), false, 0, None), Step::Append { .. }));
 }
--- a/gateway/src/duties.rs
+++ b/gateway/src/duties.rs
@@ -4,7 +4,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use forwarding::lease::{AppendOutcome, CALL_TIMEOUT, Lease, LeaseRecord, Step};
+use forwarding::lease::{
+    AppendOutcome, CALL_TIMEOUT, CLOCK_MARGIN, Lease, LeaseRecord, PartitionContent, Step,
+};
 use forwarding::scaling::{Order, OrderOutcome, PlanInput, Planner};
 use forwarding::usage::{self, RequestCounts, WindowIndex};
 use http::StatusCode;
@@ -75,12 +77,7 @@
             (peers.has_lease_holder(now), peers.name_rank(now, &self.name))
         };
         let due = self.due_window(now);
-        let unix_time = {
-            let peers = &self.context.dispatcher().peers;
-            peers.median_unix_time(now, self.context.unix_time())
-        };
-        let ended_window = usage::window_at(unix_time, self.window_length).saturating_sub(1);
-        match self.lease.step(now, has_live_holder, rank, due, ended_window) {
+        match self.lease.step(now, has_live_holder, rank, due) {
             Step::Wait => {}
             Step::Read => self.read_lease().await,
             Step::Append { at, record } => self.append_lease(at, &record).await,
@@ -94,16 +91,18 @@
         }
     }
 
+    /// First window whose counts are not complete yet, according to a clock that is `ahead`.
+    fn open_window(&self, now: Duration, ahead: Duration) -> WindowIndex {
+        let dispatcher = self.context.dispatcher();
+        let schedule = dispatcher.peers.report_schedule(&dispatcher.settings.data_centre);
+        let unix_time = dispatcher.peers.median_unix_time(now, self.context.unix_time()) + ahead;
+        let settled_at = unix_time.saturating_sub(schedule.settling_delay());
+        usage::window_at(settled_at, self.window_length)
+    }
+
     /// Next window whose counts have to be recorded in the lease; `None` until they are complete.
     fn due_window(&self, now: Duration) -> Option<(WindowIndex, RequestCounts)> {
-        let (unix_time, settling_delay) = {
-            let dispatcher = self.context.dispatcher();
-            let schedule = dispatcher.peers.report_schedule(&dispatcher.settings.data_centre);
-            let unix_time = dispatcher.peers.median_unix_time(now, self.context.unix_time());
-            (unix_time, schedule.settling_delay())
-        };
-        let current =
-            usage::window_at(unix_time.saturating_sub(settling_delay), self.window_length);
+        let current = self.open_window(now, Duration::ZERO);
         let settled = self.lease.settled_windows()?;
         let oldest = current.saturating_sub(MAX_LATE_WINDOWS);
         let next = settled.keys().next_back().map_or(oldest, |last| (last + 1).max(oldest));
@@ -120,7 +119,9 @@
                     Ok(record) => {
                         let era = self.store.era();
                         self.context.on_store_era(era);
-                        self.lease.on_read(read_at, era, listing.end_offset, record);
+                        let read = PartitionContent { era, end: listing.end_offset, record };
+                        let open_window = self.open_window(self.context.now(), CLOCK_MARGIN);
+                        self.lease.on_read(read_at, read, open_window);
                     }
                     Err(error) => {
                         warn!(self.context.logger, "invalid lease record"; "error" => %error)
