Require event ids where a stream is resumed

What callers saw: text of an error, or a whole head, in the middle of a stream that had broken and been resumed; and the events of a stream without ids twice.

Cause: an event without id was accepted at any position. Now the events of a resumed stream must have ids, and a stream that has passed on an event without id is not repeated elsewhere: the attempt becomes the last one, so that neither a break nor a silence leads to another. The first endpoint's answer is passed on as it is.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -114,6 +114,11 @@
             || (self.kind.is_repeatable() && self.possible_runs < self.max_attempts)
     }
 
+    /// Makes the attempt in progress the last one.
+    pub fn forbid_further_attempts(&mut self) {
+        self.max_attempts = self.possible_runs + 1;
+    }
+
     /// Whether it may be sent to another endpoint after the attempt in progress, which may have run.
     pub fn may_run_again(&self) -> bool {
         self.kind.is_repeatable() && self.possible_runs + 1 < self.max_attempts
--- a/forwarding/src/event_stream.rs
+++ b/forwarding/src/event_stream.rs
@@ -22,6 +22,9 @@
         /// Id of the event that was received after it.
         found: u64,
     },
+    /// An event of a resumed stream has no id.
+    #[display("an event of a resumed stream has no id")]
+    MissingId,
 }
 
 /// A complete event.
@@ -94,12 +97,14 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Position {
     last: Option<u64>,
+    has_events_without_id: bool,
+    is_resumed: bool,
 }
 
 impl Position {
     /// Position after the event with id `last`; `None` at the start of a stream.
     pub fn after(last: Option<u64>) -> Position {
-        Position { last }
+        Position { last, ..Position::default() }
     }
 
     /// Id of the last event passed on.
@@ -107,14 +112,32 @@
         self.last
     }
 
-    /// Advances past an event; an event without id is accepted at any position.
+    /// Whether another endpoint can continue the stream: all events passed on have an id.
+    pub fn is_resumable(&self) -> bool {
+        !self.has_events_without_id
+    }
+
+    /// Records that another endpoint continues the stream.
+    pub fn on_resumed(&mut self) {
+        self.is_resumed = true;
+    }
+
+    /// Advances past an event. An event without id is accepted at any position of a stream that has
+    /// not been resumed.
     ///
-    /// Fails with [`StreamError::OutOfOrder`] if the id is not the successor of the last one.
+    /// Fails with [`StreamError::OutOfOrder`] if the id is not the successor of the last one, and
+    /// with [`StreamError::MissingId`] if a resumed stream's event has none.
     pub fn advance(&mut self, id: Option<u64>) -> Result<(), StreamError> {
-        let Some(found) = id else { return Ok(()) };
-        match self.last {
-            Some(last) if found != last + 1 => Err(StreamError::OutOfOrder { last, found }),
-            _ => {
+        match (id, self.last) {
+            (None, _) if self.is_resumed => Err(StreamError::MissingId),
+            (None, _) => {
+                self.has_events_without_id = true;
+                Ok(())
+            }
+            (Some(found), Some(last)) if found != last + 1 => {
+                Err(StreamError::OutOfOrder { last, found })
+            }
+            (Some(found), _) => {
                 self.last = Some(found);
                 Ok(())
             }
--- a/forwarding/tests/event_stream.rs
+++ b/forwarding/tests/event_stream.rs
@@ -56,3 +56,24 @@
     assert_eq!(position.advance(Some(7)), Err(StreamError::OutOfOrder { last: 5, found: 7 }));
     assert_eq!(position.last(), Some(5));
 }
+
+/// Guards against taking the text of an error for an event of a resumed stream.
+#[test]
+fn resumed_stream_has_no_events_without_id() {
+    let mut position = Position::after(Some(4));
+    position.on_resumed();
+    assert_eq!(position.advance(None), Err(StreamError::MissingId));
+    assert_eq!(position.advance(Some(5)), Ok(()));
+    assert!(position.is_resumable());
+}
+
+/// Guards against repeating events without id when a stream is resumed.
+#[test]
+fn stream_with_events_without_id_is_not_resumable() {
+    let mut position = Position::after(None);
+    assert_eq!(position.advance(Some(1)), Ok(()));
+    assert!(position.is_resumable());
+    assert_eq!(position.advance(None), Ok(()));
+    assert_eq!(position.advance(Some(2)), Ok(()));
+    assert!(!position.is_resumable());
+}
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -145,6 +145,9 @@
                 Ok(Some(_)) | Err(_) => self.is_out_of_order = true,
             }
         }
+        if !self.position.is_resumable() {
+            self.exchange.admitted.forbid_further_attempts();
+        }
         let has_events = self.buffered.len() > len_before;
         if self.is_out_of_order && !has_events {
             return Err(Outcome::Broken);
@@ -164,6 +167,7 @@
         self.splitter = Splitter::default();
         self.is_out_of_order = false;
         self.awaits_continuation = true;
+        self.position.on_resumed();
         let last_event_id = self.position.last();
         loop {
             self.exchange.fail(outcome)?;
