Take back a replica whose entry another writer replaced

While an entry under a replica's id could not be read, a reader that followed the topic kept using the entry from before, and a gateway that listed the topic took the id for removed. It then recorded a departure, so that the replica's next entries, of the same process, were ignored: the replica was lost to that gateway and, by its report of the departure, to the others.

An unreadable entry now takes the endpoint out of use without a departure, and the next readable entry takes it back. The last sequence number is remembered meanwhile, as other gateways may still report the entry from before.

The loss after a listing is shown by the test in forwarding/tests/endpoints.rs only; end to end it takes several gateways.

--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -147,6 +147,8 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     latest: HashMap<EndpointId, (ProcessStartMs, u64)>,
     departures: BTreeMap<EndpointId, Departure>,
+    /// Endpoints whose entry became unreadable, with the time at which it did.
+    unreadable: BTreeMap<EndpointId, Duration>,
     store_available_at: Option<Duration>,
     is_store_unavailable: bool,
     /// Whether a complete list of entries was read from the store.
@@ -174,6 +176,7 @@
             }
         }
         self.departures.remove(&entry.id);
+        self.unreadable.remove(&entry.id);
         self.endpoints.insert(entry.id.clone(), Endpoint::new(now, entry));
         Change::Joined
     }
@@ -205,6 +208,16 @@
         self.record_departure(now, id, process_start_ms, Change::Gone)
     }
 
+    /// Applies an entry that cannot be read, as another writer replaced it. The endpoint is not used
+    /// until its next entry.
+    pub fn on_unreadable_entry(&mut self, now: Duration, id: &str) -> Change {
+        if self.endpoints.remove(id).is_none() {
+            return Change::None;
+        }
+        self.unreadable.insert(id.to_owned(), now);
+        Change::Gone
+    }
+
     /// Applies an entry that another gateway reported when the endpoint joined.
     pub fn on_reported_entry(&mut self, now: Duration, entry: Entry) -> Change {
         // An entry that lapsed in an outage may be missing from the first list.
@@ -321,9 +334,11 @@
             self.record_departure(now, id, *process_start_ms, Change::Gone);
         }
         self.departures.retain(|_, departure| now < departure.at + DEPARTURE_RETENTION);
-        let endpoints = &self.endpoints;
-        let departures = &self.departures;
-        self.latest.retain(|id, _| endpoints.contains_key(id) || departures.contains_key(id));
+        self.unreadable.retain(|_, &mut at| now < at + DEPARTURE_RETENTION);
+        let EndpointTable { endpoints, departures, unreadable, latest, .. } = self;
+        latest.retain(|id, _| {
+            endpoints.contains_key(id) || departures.contains_key(id) || unreadable.contains_key(id)
+        });
         lapsed.into_iter().map(|(id, _)| id).collect()
     }
 
--- a/forwarding/tests/endpoints.rs
+++ b/forwarding/tests/endpoints.rs
@@ -153,3 +153,34 @@
     assert!(endpoint.is_healthy(ms(10)));
     assert!(endpoint.failure_rate > 0.8, "{}", endpoint.failure_rate);
 }
+
+/// Guards against a replica that is lost for good because another writer replaced its entry.
+#[test]
+fn endpoint_is_unused_while_its_entry_is_unreadable_and_returns_with_the_next_entry() {
+    for is_listed in [false, true] {
+        let mut table = EndpointTable::default();
+        table.on_entry(ms(0), entry("a", MODEL_SERVICE, 5, 3));
+        table.on_entry(ms(0), entry("b", MODEL_SERVICE, 5, 1));
+        assert_eq!(table.on_unreadable_entry(ms(10), "a"), Change::Gone);
+        assert!(table.get("a").is_none());
+        if is_listed {
+            let changes = table.on_snapshot(ms(20), vec![entry("b", MODEL_SERVICE, 5, 1)]);
+            assert!(changes.is_empty());
+        }
+        table.tick(ms(30));
+        assert!(table.recent_departures(ms(30), ms(1_000)).is_empty());
+        // Other gateways may still report the entry from before.
+        let reported = table.on_reported_entry(ms(40), entry("a", MODEL_SERVICE, 5, 3));
+        assert_eq!(reported, Change::None);
+        let renewed = table.on_entry(ms(50), entry("a", MODEL_SERVICE, 5, 4));
+        assert_eq!(renewed, Change::Joined);
+        assert!(table.get("b").is_some());
+    }
+}
+
+#[test]
+fn unreadable_entry_of_an_unknown_endpoint_changes_nothing() {
+    let mut table = EndpointTable::default();
+    assert_eq!(table.on_unreadable_entry(ms(0), "a"), Change::None);
+    assert_eq!(table.on_entry(ms(10), entry("a", MODEL_SERVICE, 5, 1)), Change::Joined);
+}
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -215,15 +215,25 @@
 }
 
 fn apply_listing(context: &Context, listing: &Listing) {
-    let entries = listing.records.iter().filter_map(|record| decode_entry(context, record));
-    let entries: Vec<Entry> = entries.collect();
     let now = context.now();
+    let mut entries: Vec<Entry> = Vec::new();
+    for record in &listing.records {
+        match decode_entry(context, record) {
+            Some(entry) => entries.push(entry),
+            None => apply_unreadable(context, now, &record.key),
+        }
+    }
     let changes = context.dispatcher().endpoints.on_snapshot(now, entries);
     for (id, change) in changes {
         log_change(context, &id, change);
     }
 }
 
+fn apply_unreadable(context: &Context, now: Duration, id: &str) {
+    let change = context.dispatcher().endpoints.on_unreadable_entry(now, id);
+    log_change(context, id, change);
+}
+
 fn apply_entries(context: &Context, records: &[Record]) {
     let now = context.now();
     for record in records {
@@ -231,7 +241,7 @@
             None => context.dispatcher().endpoints.on_removed(now, &record.key),
             Some(_) => match decode_entry(context, record) {
                 Some(entry) => context.dispatcher().endpoints.on_entry(now, entry),
-                None => Change::None,
+                None => context.dispatcher().endpoints.on_unreadable_entry(now, &record.key),
             },
         };
         log_change(context, &record.key, change);
