--- a/forwarding/src/departures.rs
+++ b/forwarding/src/departures.rs
@@ -7,7 +7,7 @@
 
 /// Time for which a departure is remembered after it was observed; entries older than this are not
 /// replayed.
-const RETENTION: Duration = Duration::from_secs(120);
+pub(crate) const RETENTION: Duration = Duration::from_secs(120);
 
 #[derive(Debug, Clone, Copy)]
 struct Departure {
