Send nothing to an endpoint until the end of the wait that it requested

Endpoints that refused with 503 and a wait got requests again after 150 ms, or at once if no other was left, and callers were sent from one refusal to the next.

The cause: Retry-After of an endpoint was not read, and a refusal only lowers an endpoint's rank, by design: an ejection is a guess. A stated wait is not, so it is kept apart from health and excludes the endpoint in the selection. Later answers may extend it but not shorten it; only a new process of the endpoint ends it. It counts with and without the statement that the request has not run, in answers to the request itself. Other gateways are not told, as the wait is meant for one.

If all endpoints of a service wait, the request is refused at once as not run, with the earliest end as Retry-After; its quota is refunded as for other refusals.

Ruled out: other ways to send. First attempts, retries and resumed streams all go through the selection, and the gateway sends no probes.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -317,8 +317,12 @@
             data_centre: &self.settings.data_centre,
             tried: &admitted.tried,
         };
-        let endpoint =
-            selection::select(&self.endpoints, now, &criteria).ok_or(RefusalReason::NoEndpoint)?;
+        let endpoint = selection::select(&self.endpoints, now, &criteria).ok_or_else(|| {
+            selection::earliest_wait_end(&self.endpoints, now, &admitted.service)
+                .map_or(RefusalReason::NoEndpoint, |end| RefusalReason::Full {
+                    wait: end.saturating_sub(now),
+                })
+        })?;
         let is_idle = endpoint.waiting_tokens() == 0 && !endpoint.is_warming_up(now);
         let target = Target {
             id: endpoint.entry.id.clone(),
--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -13,6 +13,7 @@
 
 use crate::departures::Departures;
 use crate::release::ServiceName;
+use crate::requested_waits::RequestedWaits;
 use crate::suspects;
 
 /// Id of an endpoint; a later process may reuse it.
@@ -139,6 +140,7 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     latest: HashMap<EndpointId, (ProcessStartMs, u64)>,
     departures: Departures,
+    waits: RequestedWaits,
     store_available_at: Option<Duration>,
     is_store_unavailable: bool,
     /// Whether a complete list of entries was read from the store.
@@ -324,6 +326,7 @@
             self.record_departure(now, id, *process_start_ms, Change::Gone);
         }
         self.departures.remove_expired(now);
+        self.waits.remove_expired(now);
         let endpoints = &self.endpoints;
         let departures = &self.departures;
         self.latest.retain(|id, _| endpoints.contains_key(id) || departures.contains(id));
@@ -429,6 +432,23 @@
         }
     }
 
+    /// Records that an endpoint process wants no requests until `until`. Returns whether it is the
+    /// start of a wait, not its extension.
+    pub fn on_wait_requested(
+        &mut self,
+        now: Duration,
+        id: &str,
+        process_start_ms: ProcessStartMs,
+        until: Duration,
+    ) -> bool {
+        self.waits.record(now, id, process_start_ms, until)
+    }
+
+    /// End of the wait that an endpoint requested; `None` if it may be sent requests.
+    pub fn wait_end(&self, now: Duration, endpoint: &Endpoint) -> Option<Duration> {
+        self.waits.end(now, &endpoint.entry.id, endpoint.entry.process_start_ms)
+    }
+
     /// Records bytes that belong to no answer; connections are not reused until `until`.
     pub fn on_stray_bytes(&mut self, id: &str, until: Duration) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod release;
 pub mod report_schedule;
 pub mod request;
+mod requested_waits;
 pub mod retry_budget;
 pub mod scaling;
 pub mod selection;
--- a/forwarding/src/refusal.rs
+++ b/forwarding/src/refusal.rs
@@ -36,7 +36,7 @@
     /// The service has no endpoint left to try.
     #[display("the service has no endpoint left to try")]
     NoEndpoint,
-    /// The retry budget allows no further attempt.
+    /// The retry budget allows no further attempt, or all endpoints requested a wait.
     #[display("the service's endpoints are full")]
     Full {
         /// Time after which the caller may retry.
--- a/forwarding/src/selection.rs
+++ b/forwarding/src/selection.rs
@@ -55,7 +55,8 @@
 
 /// Selects the endpoint with the lowest cost, or returns `None` if none is left to try.
 ///
-/// Ejected or refusing endpoints are selected only if no healthy one is left.
+/// Ejected or refusing endpoints are selected only if no healthy one is left, endpoints that
+/// requested a wait not at all.
 pub fn select<'t>(
     table: &'t EndpointTable,
     now: Duration,
@@ -64,6 +65,7 @@
     let candidates: Vec<&Endpoint> = table
         .of_service(criteria.service)
         .filter(|endpoint| !criteria.tried.contains(&endpoint.entry.id))
+        .filter(|endpoint| table.wait_end(now, endpoint).is_none())
         .collect();
     let healthy: Vec<&Endpoint> =
         candidates.iter().copied().filter(|endpoint| endpoint.is_healthy(now)).collect();
@@ -74,6 +76,14 @@
     }
 }
 
+/// Earliest end of the waits that the endpoints of a service requested. `None` if the service has
+/// no endpoints, or one that requested no wait.
+pub fn earliest_wait_end(table: &EndpointTable, now: Duration, service: &str) -> Option<Duration> {
+    let endpoints = table.of_service(service);
+    let ends = endpoints.map(|endpoint| table.wait_end(now, endpoint));
+    ends.collect::<Option<Vec<Duration>>>()?.into_iter().min()
+}
+
 fn select_by_cache<'t>(
     mut candidates: Vec<&'t Endpoint>,
     now: Duration,
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -304,6 +304,16 @@
             }
             self.context.pool.remove(id);
         }
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE
+            && let Some(wait) = answer.head.requested_wait
+        {
+            let endpoints = &mut self.context.dispatcher().endpoints;
+            if endpoints.on_wait_requested(now, id, *process_start_ms, now + wait) {
+                info!(self.context.logger, "endpoint requested a wait";
+                    "request" => &self.admitted.attempt_id, "endpoint" => id,
+                    "wait_ms" => logger::as_ms(wait));
+            }
+        }
     }
 
     fn validate(&self, target: &Target, answer: Answer) -> Result<Answer, Outcome> {
