Answer every open request before a stopping gateway ends

Callers saw connections that closed without an answer, or within one, when a gateway got SIGTERM.

Cause: the shutdown waited for admitted requests only, from their admission to the end of the exchange. A request whose body was being read, one that was being refused, and an answer that was being written to a slow caller were not open for it; the process ended 50 ms after the last admitted one. At the end of the grace time, requests in progress were cut. In the closing phase the listener was gone, and connections whose first request was under way were closed.

A request is now open from its head until its answer is flushed, and the process ends when none is open. Shortly before SIGKILL, requests without an answer get one: 503 if the body was not read completely, 504 if the request may have run. The listener accepts until the end; requests that arrive in the closing phase are read and refused with 503 and Connection: close. The frontend owns the tasks of its connections, so that in tests, as in a process, none outlives a gateway.

Ruled out: hyper dropping unflushed bytes at graceful_shutdown (its shutdown flushes first), and gotham ending a request without an answer at a panic or an error of the handler (both become a 500).

--- a/gateway/src/frontend.rs
+++ b/gateway/src/frontend.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forwarding::dispatcher::Dispatcher;
+use forwarding::dispatcher::{Dispatcher, Outcome};
 use forwarding::refusal::RefusalReason;
 use forwarding::release::Limits;
 use forwarding::request::Request;
@@ -25,6 +25,7 @@
 use platform::headers;
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio::time;
 
 use crate::context::Context;
@@ -44,21 +45,24 @@
 /// Request bodies may take the process's memory divided by this.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
-/// Accepts callers' connections until the closing phase of the shutdown.
+/// Accepts and serves callers' connections. All of them are closed when this is dropped.
 pub(crate) async fn serve(context: Context, listener: TcpListener) {
-    let mut closing = shutdown::wait_until_closing(context.phase.clone());
+    let mut connections = JoinSet::new();
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = &mut closing => return,
-        };
-        match accepted {
-            Ok((stream, caller)) => {
-                tokio::spawn(serve_connection(context.clone(), stream, caller));
-            }
-            Err(error) => {
-                warn!(context.logger, "cannot accept a connection"; "error" => %error);
-                time::sleep(ACCEPT_RETRY_DELAY).await;
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, caller)) => {
+                    connections.spawn(serve_connection(context.clone(), stream, caller));
+                }
+                Err(error) => {
+                    warn!(context.logger, "cannot accept a connection"; "error" => %error);
+                    time::sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            },
+            Some(ended) = connections.join_next() => {
+                if let Err(error) = ended {
+                    warn!(context.logger, "a connection's task failed"; "error" => %error);
+                }
             }
         }
     }
@@ -69,29 +73,31 @@
         return;
     }
     let limits = limits(&context.dispatcher());
-    let mut closing = shutdown::wait_until_closing(context.phase.clone());
+    let mut closing = shutdown::wait_until(Phase::Closing, context.phase.clone());
     let stream = CallerStream::new(stream, Arc::clone(&context.open_requests));
     let opener = stream.opener();
-    let service = hyper::service::service_fn(move |request| {
-        respond(context.clone(), opener.open(), request, caller)
-    });
+    let service = {
+        let opener = opener.clone();
+        hyper::service::service_fn(move |request| {
+            respond(context.clone(), opener.open(), request, caller)
+        })
+    };
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout * HEADER_READ_TIMEOUT_FACTOR)
         .max_buf_size(limits.max_header_bytes.max(8 * 1024))
         .serve_connection(stream, service);
     tokio::pin!(connection);
-    let mut is_closing = false;
-    loop {
-        tokio::select! {
-            // Fails if the caller disconnects or sends an invalid request.
-            _ = connection.as_mut() => return,
-            () = &mut closing, if !is_closing => {
-                connection.as_mut().graceful_shutdown();
-                is_closing = true;
-            }
-        }
+    tokio::select! {
+        // Fails if the caller disconnects or sends an invalid request.
+        _ = connection.as_mut() => return,
+        () = &mut closing => {}
+    }
+    // The request of a new connection is under way, and is refused with an answer.
+    if opener.had_request() {
+        connection.as_mut().graceful_shutdown();
     }
+    let _ = connection.await;
 }
 
 fn limits(dispatcher: &Dispatcher) -> Limits {
@@ -139,10 +145,33 @@
     let headers = HeaderMap::take_from(&mut state);
     let body = Body::take_from(&mut state);
     let mut open_request = OpenRequest::take_from(&mut state);
-    let response = forward(&context, &mut open_request, method, uri, headers, body).await;
+    let response = tokio::select! {
+        biased;
+        response = forward(&context, &mut open_request, method, uri, headers, body) => response,
+        () = shutdown::wait_until(Phase::Ending, context.phase.clone()) => {
+            ended_response(&context, &open_request)
+        }
+    };
     Ok((state, response.map(|body| open_request.answer_with(body))))
 }
 
+/// Answer to a request that the end of the grace time interrupts.
+fn ended_response(context: &Context, open_request: &OpenRequest) -> Response<Body> {
+    let (reason, text) = match open_request.stage() {
+        Stage::ReadingBody => {
+            let refusal = RefusalReason::Stopping;
+            (GiveUpReason::NotRun(refusal), refusal.to_string())
+        }
+        Stage::Running | Stage::Answering => (
+            GiveUpReason::Failed(Outcome::TimedOut),
+            "the request may have run; the gateway is about to stop".to_owned(),
+        ),
+    };
+    let status = reason.status();
+    info!(context.logger, "request ended by the shutdown"; "status" => status.as_u16());
+    error_response(status, reason.retry_after(), &text)
+}
+
 async fn forward(
     context: &Context,
     open_request: &mut OpenRequest,
@@ -173,7 +202,7 @@
     };
     open_request.set_stage(Stage::Running);
     let admission = match context.phase() {
-        Phase::Closing => Err(RefusalReason::Stopping),
+        Phase::Closing | Phase::Ending => Err(RefusalReason::Stopping),
         Phase::Serving | Phase::Leaving => context.dispatcher().admit(arrived_at, &request, &body),
     };
     let admitted = match admission {
@@ -221,7 +250,7 @@
             Err(outcome) => exchange.fail(outcome)?,
             Ok(response) if response.status().is_server_error() => {
                 failed_answer = Some(response.map(full));
-                if let Err(reason) = exchange.fail(forwarding::dispatcher::Outcome::Failed) {
+                if let Err(reason) = exchange.fail(Outcome::Failed) {
                     return failed_answer.ok_or(reason);
                 }
             }
--- a/gateway/src/open_requests.rs
+++ b/gateway/src/open_requests.rs
@@ -2,8 +2,8 @@
 
 use std::io;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError, Weak};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
@@ -67,15 +67,24 @@
 pub(crate) struct OpenRequest {
     counters: Arc<Counters>,
     stage: Stage,
-    unwritten: Weak<Unwritten>,
+    connection: Weak<ConnectionState>,
 }
 
 impl StateData for OpenRequest {}
 
-/// Requests of one connection whose answers are encoded but not written yet.
-type Unwritten = Mutex<Vec<OpenRequest>>;
+/// State that a connection shares with its requests.
+#[derive(Debug, Default)]
+struct ConnectionState {
+    had_request: AtomicBool,
+    /// Requests whose answers are encoded but not written yet.
+    unwritten: Mutex<Vec<OpenRequest>>,
+}
 
 impl OpenRequest {
+    pub(crate) fn stage(&self) -> Stage {
+        self.stage
+    }
+
     pub(crate) fn set_stage(&mut self, stage: Stage) {
         self.counters.stage(self.stage).fetch_sub(1, Ordering::Relaxed);
         self.counters.stage(stage).fetch_add(1, Ordering::Relaxed);
@@ -100,24 +109,24 @@
 pub(crate) struct CallerStream {
     stream: TokioIo<TcpStream>,
     counters: Arc<Counters>,
-    unwritten: Arc<Unwritten>,
+    state: Arc<ConnectionState>,
 }
 
 /// Opens requests on one connection.
 #[derive(Debug, Clone)]
 pub(crate) struct Opener {
     counters: Arc<Counters>,
-    unwritten: Weak<Unwritten>,
+    connection: Weak<ConnectionState>,
 }
 
 impl CallerStream {
     pub(crate) fn new(stream: TcpStream, counters: Arc<Counters>) -> CallerStream {
         counters.connections.fetch_add(1, Ordering::Relaxed);
-        CallerStream { stream: TokioIo::new(stream), counters, unwritten: Arc::default() }
+        CallerStream { stream: TokioIo::new(stream), counters, state: Arc::default() }
     }
 
     pub(crate) fn opener(&self) -> Opener {
-        Opener { counters: Arc::clone(&self.counters), unwritten: Arc::downgrade(&self.unwritten) }
+        Opener { counters: Arc::clone(&self.counters), connection: Arc::downgrade(&self.state) }
     }
 }
 
@@ -126,8 +135,17 @@
     pub(crate) fn open(&self) -> OpenRequest {
         let stage = Stage::ReadingBody;
         self.counters.stage(stage).fetch_add(1, Ordering::Relaxed);
-        let (counters, unwritten) = (Arc::clone(&self.counters), Weak::clone(&self.unwritten));
-        OpenRequest { counters, stage, unwritten }
+        if let Some(connection) = self.connection.upgrade() {
+            connection.had_request.store(true, Ordering::Relaxed);
+        }
+        let (counters, connection) = (Arc::clone(&self.counters), Weak::clone(&self.connection));
+        OpenRequest { counters, stage, connection }
+    }
+
+    /// Whether a request has been opened. A connection without one is new: its request is under way.
+    pub(crate) fn had_request(&self) -> bool {
+        let connection = self.connection.upgrade();
+        connection.is_some_and(|connection| connection.had_request.load(Ordering::Relaxed))
     }
 }
 
@@ -159,7 +177,7 @@
     /// Called by hyper when its write buffer is empty.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        close_written(&self.unwritten);
+        self.state.close_written();
         Poll::Ready(Ok(()))
     }
 
@@ -180,8 +198,16 @@
     }
 }
 
-fn close_written(unwritten: &Unwritten) {
-    unwritten.lock().unwrap_or_else(PoisonError::into_inner).clear();
+impl ConnectionState {
+    fn close_written(&self) {
+        // Dropped after the lock, as each request refers to this state.
+        let written = std::mem::take(&mut *self.lock_unwritten());
+        drop(written);
+    }
+
+    fn lock_unwritten(&self) -> MutexGuard<'_, Vec<OpenRequest>> {
+        self.unwritten.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Body of an answer. When hyper drops it, its last bytes may still be in hyper's write buffer.
@@ -214,7 +240,7 @@
     fn drop(&mut self) {
         let Some(open_request) = self.open_request.take() else { return };
         // hyper drops the connection before the body of an answer that it has not finished.
-        let Some(unwritten) = open_request.unwritten.upgrade() else { return };
-        unwritten.lock().unwrap_or_else(PoisonError::into_inner).push(open_request);
+        let Some(connection) = open_request.connection.upgrade() else { return };
+        connection.lock_unwritten().push(open_request);
     }
 }
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -17,14 +17,17 @@
 /// must still finish within the grace time, which a stream may exceed.
 const LEAVING_PERIOD: Duration = Duration::from_millis(2_600);
 
-/// Time left between the end of the process and SIGKILL.
+/// Time left between the end of requests in progress and SIGKILL.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Part of that time in which the last answers are written.
+const LAST_ANSWERS_PERIOD: Duration = Duration::from_millis(200);
+
 /// Interval at which the number of open requests is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Phase of the shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
     /// The shutdown has not begun.
     Serving,
@@ -32,13 +35,18 @@
     Leaving,
     /// Requests in progress are finished; new requests are refused.
     Closing,
+    /// The grace time ends; requests without an answer get an error.
+    Ending,
 }
 
-/// Resolves when the closing phase begins.
-pub(crate) fn wait_until_closing(mut phase: watch::Receiver<Phase>) -> BoxFuture<'static, ()> {
+/// Resolves when a phase begins.
+pub(crate) fn wait_until(
+    begun: Phase,
+    mut phase: watch::Receiver<Phase>,
+) -> BoxFuture<'static, ()> {
     Box::pin(async move {
         // Fails if the sender is dropped, which happens at the end of the process.
-        let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+        let _ = phase.wait_for(|phase| *phase >= begun).await;
     })
 }
 
@@ -68,16 +76,17 @@
     log_phase(&context, "closing");
     phase.send_replace(Phase::Closing);
     let deadline = started_at + grace.saturating_sub(GRACE_MARGIN);
-    while context.now() < deadline && open_requests(&context) > 0 {
-        time::sleep(POLL_INTERVAL).await;
-    }
-    // Gives the connection tasks time to write the last answers.
-    time::sleep(POLL_INTERVAL).await;
+    wait_until_answered(&context, deadline).await;
+    phase.send_replace(Phase::Ending);
+    wait_until_answered(&context, deadline + LAST_ANSWERS_PERIOD).await;
     log_phase(&context, "stopped");
 }
 
-fn open_requests(context: &Context) -> usize {
-    context.admitted_requests.load(Ordering::Relaxed)
+/// Waits until all answers are written, or until the deadline.
+async fn wait_until_answered(context: &Context, deadline: Duration) {
+    while context.now() < deadline && context.open_requests.total() > 0 {
+        time::sleep(POLL_INTERVAL).await;
+    }
 }
 
 fn log_phase(context: &Context, phase: &'static str) {
@@ -86,5 +95,6 @@
         "reading_body" => open.in_stage(Stage::ReadingBody),
         "running" => open.in_stage(Stage::Running),
         "answering" => open.in_stage(Stage::Answering),
-        "admitted" => open_requests(context), "connections" => open.connections());
+        "admitted" => context.admitted_requests.load(Ordering::Relaxed),
+        "connections" => open.connections());
 }
