Register with the other gateways again after a restoration

A gateway that starts after a restoration lists the others in the store, and does not find those that had registered in the seconds that were lost. It can then neither ask them for a newer release nor hear of departures until they list it, which takes 20 seconds or more.

A gateway registered once per process. It now does so again when the store states a new era, with a delay by rank, so that a large fleet does not write at once, and lists the others. Ruled out: reports to a known address, which a restoration does not change.

Gateways that do not read the store learn of the era at their next call to it.

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Latest era of the store, to wait for its changes.
+    pub(crate) fn store_era(&self) -> watch::Receiver<Option<StoreEra>> {
+        self.store_era.subscribe()
+    }
+
     /// Counts a request as open until the guard is dropped.
     pub(crate) fn open_request(&self, body_bytes: usize) -> OpenRequest {
         self.open_requests.fetch_add(1, Ordering::Relaxed);
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -57,6 +57,9 @@
 /// Interval of listings per known gateway, as both their number and their length grow with it.
 const MEMBERS_INTERVAL_PER_PEER: Duration = Duration::from_millis(400);
 
+/// Delay per rank before a gateway registers again, so that a large fleet does not do so at once.
+const REGISTRATION_DELAY: Duration = Duration::from_millis(5);
+
 /// Delay after a failed call to the store.
 const STORE_RETRY_DELAY: Duration = Duration::from_millis(500);
 
@@ -333,21 +336,26 @@
     }
 }
 
-/// Registers this gateway in the store and lists the others from there, now and at an interval.
+/// Registers this gateway in the store and lists the others from there: now, at an interval, and
+/// after the store was restored, which may have lost the registration.
 pub(crate) async fn join(context: Context, own: SocketAddr) {
     let (address, name) = {
         let settings = &context.dispatcher().settings;
         (settings.store_address, settings.name.clone())
     };
     let mut store = StoreClient::new(address);
-    let mut is_registered = false;
+    let mut registered_era = None;
+    let mut store_era = context.store_era();
     loop {
-        if !is_registered {
+        if registered_era.is_none() || registered_era < *store_era.borrow_and_update() {
             let value = own.to_string();
             let written =
                 store.append(store::MEMBERS_TOPIC, &name, value.as_bytes(), None, CALL_TIMEOUT);
             match written.await {
-                Ok(_) => is_registered = true,
+                Ok(_) => {
+                    registered_era = Some(store.era());
+                    context.on_store_era(store.era());
+                }
                 Err(error) => {
                     warn!(context.logger, "cannot register with the other gateways"; "error" => %error);
                     time::sleep(STORE_RETRY_DELAY).await;
@@ -357,6 +365,7 @@
         }
         let interval = match store.list_newest(store::MEMBERS_TOPIC, CALL_TIMEOUT).await {
             Ok(listing) => {
+                context.on_store_era(store.era());
                 let now = context.now();
                 let members = listing.records.iter().filter_map(|record| {
                     std::str::from_utf8(record.value.as_ref()?).ok()?.parse().ok()
@@ -374,6 +383,15 @@
                 STORE_RETRY_DELAY
             }
         };
-        time::sleep(interval).await;
+        if registered_era < *store_era.borrow_and_update() {
+            continue;
+        }
+        tokio::select! {
+            () = time::sleep(interval) => {}
+            _ = store_era.changed() => {
+                let rank = context.dispatcher().peers.name_rank(context.now(), &name);
+                time::sleep(REGISTRATION_DELAY * rank).await;
+            }
+        }
     }
 }
