--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -128,6 +128,11 @@
         }
     }
 
+    /// Latest era of the store, to wait for its changes.
+    pub(crate) fn store_era(&self) -> watch::Receiver<Option<StoreEra>> {
+        self.store_era.subscribe()
+    }
+
     /// Counts an admitted request and its body until the guard is dropped.
     pub(crate) fn count_admitted(&self, body_bytes: usize) -> AdmittedCount {
         self.admitted_requests.fetch_add(1, Ordering::Relaxed);
