State how long idle callers' connections are kept

A gateway that stops closes idle connections when its closing phase begins. A request that is under way on one of them then gets no answer.

The gateway stated no idle time, so callers reused connections that had been idle for longer than the leaving phase, in which every answer says Connection: close. Answers of a gateway that isn't stopping now state Keep-Alive with whole seconds below that phase (2 s with a grace time of 8 s), so a connection without a request in the leaving phase isn't reused after it. A stream whose head was sent before the stop can still be followed by such a request.

Before the fix, connection_is_kept_for_the_stated_idle_time failed with "no entry found for key keep-alive".

--- a/gateway/src/frontend.rs
+++ b/gateway/src/frontend.rs
@@ -114,7 +114,11 @@
     state.put(context.clone());
     state.put(open_request);
     let mut response = gotham::service::call_handler(Forward, AssertUnwindSafe(state)).await?;
-    if context.phase() != Phase::Serving {
+    if context.phase() == Phase::Serving {
+        let grace = context.dispatcher().settings.bounds.grace;
+        let idle_time = shutdown::keep_alive_time(grace);
+        response.headers_mut().insert(headers::KEEP_ALIVE, headers::keep_alive(idle_time));
+    } else {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     Ok(response)
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -23,6 +23,9 @@
 /// Part of that time in which the last answers are written.
 const LAST_ANSWERS_PERIOD: Duration = Duration::from_millis(200);
 
+/// Maximum time that an answer and the next request take between gateway and caller.
+const MAX_CROSSING_TIME: Duration = Duration::from_millis(500);
+
 /// Interval at which the number of open requests is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -39,6 +42,17 @@
     Ending,
 }
 
+/// How long callers may leave a connection idle before they reuse it, in whole seconds. A connection
+/// that was last used before the leaving phase is not reused after it, so that closing it then does
+/// not cross a request.
+pub(crate) fn keep_alive_time(grace: Duration) -> Duration {
+    Duration::from_secs(leaving_period(grace).saturating_sub(MAX_CROSSING_TIME).as_secs().max(1))
+}
+
+fn leaving_period(grace: Duration) -> Duration {
+    LEAVING_PERIOD.min(grace / 2)
+}
+
 /// Resolves when a phase begins.
 pub(crate) fn wait_until(
     begun: Phase,
@@ -72,7 +86,7 @@
     let started_at = context.now();
     log_phase(&context, "leaving");
     phase.send_replace(Phase::Leaving);
-    time::sleep(LEAVING_PERIOD.min(grace / 2)).await;
+    time::sleep(leaving_period(grace)).await;
     log_phase(&context, "closing");
     phase.send_replace(Phase::Closing);
     let deadline = started_at + grace.saturating_sub(GRACE_MARGIN);
