--- a/gateway/src/frontend.rs
+++ b/gateway/src/frontend.rs
@@ -29,7 +29,8 @@
 use tokio::time;
 
 use crate::context::Context;
-use crate::exchange::{Exchange, GiveUpReason, OutgoingRequest};
+use crate::exchange::{Exchange, OutgoingRequest};
+use crate::give_up::GiveUpReason;
 use crate::logger;
 use crate::open_requests::{CallerStream, OpenRequest, Stage};
 use crate::relay::{self, Relay};
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod duties;
 mod exchange;
 mod frontend;
+mod give_up;
 mod gossip;
 mod handover;
 mod logger;
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -12,7 +12,8 @@
 use platform::headers::AnswerHead;
 use slog::info;
 
-use crate::exchange::{Answer, Exchange, GiveUpReason};
+use crate::exchange::{Answer, Exchange};
+use crate::give_up::GiveUpReason;
 use crate::logger;
 use crate::pool::Connection;
 
