Replace a silent attempt only by one that can be expected to succeed

What callers saw: a stream was cut, or a request got a 502, although its silent endpoint would have gone on: the attempt was ended for another one that was then refused, or that could not be answered in the time left.

With no healthy one left, selection falls back to refusing or ejected endpoints; a full one refuses; and the check is repeated until the deadline. Now the other endpoint must be healthy and have room, and the route's latency target must be left.

Evidence: the three new tests of forwarding/tests/silence.rs failed before: 'left: Some(Replacement { target: Target { id: "desk-2" ... }) right: None'.

silent_attempt_goes_on_while_the_retry_budget_is_spent sends 100 requests at once to endpoints for 6 and replaces dozens of silent attempts, so that full or ejected endpoints would now hold the replacements back, and not the budget that it is about. The endpoints get room for 200 and a success after each silence; its checks are the same.

Open: a replacement that is refused all the same leaves the request without an endpoint if there are only two.

--- a/forwarding/src/dispatcher/targets.rs
+++ b/forwarding/src/dispatcher/targets.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use super::{AdmittedRequest, Dispatcher, Outcome, Target};
+use crate::endpoints::Endpoint;
 use crate::refusal::{RefusalReason, UNAVAILABLE_RETRY_AFTER};
 use crate::selection::{self, SelectionCriteria};
 
@@ -25,19 +26,19 @@
         now: Duration,
         admitted: &mut AdmittedRequest,
     ) -> Result<Target, RefusalReason> {
-        let (target, is_idle) = self.select_target(now, admitted, admitted.possible_runs > 0)?;
+        let endpoint = self.select_endpoint(now, admitted, admitted.possible_runs > 0)?;
+        let (target, is_idle) = (target(endpoint, now), is_idle(endpoint, now));
+        self.take_retry(now, admitted)?;
         self.on_sent(now, admitted, &target, is_idle);
         Ok(target)
     }
 
-    /// Selects an endpoint and takes a retry from the budget if the request was sent before. Also
-    /// returns whether the endpoint is idle.
-    fn select_target(
-        &mut self,
+    fn select_endpoint(
+        &self,
         now: Duration,
         admitted: &AdmittedRequest,
         has_run: bool,
-    ) -> Result<(Target, bool), RefusalReason> {
+    ) -> Result<&Endpoint, RefusalReason> {
         if admitted.time_left(now).is_zero() {
             return Err(RefusalReason::Expired);
         }
@@ -51,27 +52,30 @@
             data_centre: &self.settings.data_centre,
             tried: &admitted.tried,
         };
-        let endpoint = selection::select(&self.endpoints, now, &criteria).ok_or_else(|| {
+        selection::select(&self.endpoints, now, &criteria).ok_or_else(|| {
             selection::earliest_wait_end(&self.endpoints, now, &admitted.service)
                 .map_or(RefusalReason::NoEndpoint, |end| RefusalReason::Full {
                     wait: end.saturating_sub(now),
                 })
-        })?;
-        let is_idle = endpoint.waiting_tokens() == 0 && !endpoint.is_warming_up(now);
-        let target = Target {
-            id: endpoint.entry.id.clone(),
-            address: endpoint.entry.address,
-            process_start_ms: endpoint.entry.process_start_ms,
-            may_reuse_connections: endpoint.may_reuse_connections(now),
-        };
-        if !admitted.tried.is_empty() {
-            let gateways = self.peers.gateway_count(now);
-            let bounds = &self.settings.bounds;
-            if !self.retry_budget.try_take(now, bounds, &admitted.service, gateways) {
-                return Err(RefusalReason::Full { wait: UNAVAILABLE_RETRY_AFTER });
-            }
+        })
+    }
+
+    /// Takes a retry from the budget if the request was sent before.
+    fn take_retry(
+        &mut self,
+        now: Duration,
+        admitted: &AdmittedRequest,
+    ) -> Result<(), RefusalReason> {
+        if admitted.tried.is_empty() {
+            return Ok(());
+        }
+        let gateways = self.peers.gateway_count(now);
+        let bounds = &self.settings.bounds;
+        if self.retry_budget.try_take(now, bounds, &admitted.service, gateways) {
+            Ok(())
+        } else {
+            Err(RefusalReason::Full { wait: UNAVAILABLE_RETRY_AFTER })
         }
-        Ok((target, is_idle))
     }
 
     fn on_sent(
@@ -90,7 +94,8 @@
     /// Ends an attempt whose endpoint is silent, and selects another endpoint and counts the new
     /// attempt as sent.
     ///
-    /// Returns `None` and changes nothing if no other attempt is possible or allowed now.
+    /// Returns `None` and changes nothing if no other attempt is possible or allowed now, or if the
+    /// other endpoint would probably refuse it or not answer before the deadline.
     pub fn replace_silent(
         &mut self,
         now: Duration,
@@ -98,10 +103,15 @@
         silent: &Target,
         had_first_event: bool,
     ) -> Option<Replacement> {
-        if !admitted.may_run_again() {
+        if !admitted.may_run_again() || admitted.time_left(now) < admitted.latency_target {
             return None;
         }
-        let (target, is_idle) = self.select_target(now, admitted, true).ok()?;
+        let endpoint = self.select_endpoint(now, admitted, true).ok()?;
+        if !endpoint.is_healthy(now) || endpoint.requests() >= endpoint.entry.capacity {
+            return None;
+        }
+        let (target, is_idle) = (target(endpoint, now), is_idle(endpoint, now));
+        self.take_retry(now, admitted).ok()?;
         let is_ejected = self.on_failed(now, admitted, silent, Outcome::TimedOut, had_first_event);
         self.on_sent(now, admitted, &target, is_idle);
         Some(Replacement { target, is_ejected })
@@ -113,3 +123,16 @@
         self.endpoints.on_failure(now, &target.id)
     }
 }
+
+fn target(endpoint: &Endpoint, now: Duration) -> Target {
+    Target {
+        id: endpoint.entry.id.clone(),
+        address: endpoint.entry.address,
+        process_start_ms: endpoint.entry.process_start_ms,
+        may_reuse_connections: endpoint.may_reuse_connections(now),
+    }
+}
+
+fn is_idle(endpoint: &Endpoint, now: Duration) -> bool {
+    endpoint.waiting_tokens() == 0 && !endpoint.is_warming_up(now)
+}
--- a/forwarding/tests/silence.rs
+++ b/forwarding/tests/silence.rs
@@ -3,14 +3,19 @@
 mod support;
 
 use forwarding::dispatcher::{AdmittedRequest, Dispatcher, Target};
+use forwarding::endpoints::Entry;
 use support::{MODEL_SERVICE, PLAIN_SERVICE, entry, ms, release, request, settings};
 
+/// Capacity of each endpoint, more than the requests that a test sends.
+const CAPACITY: u32 = 200;
+
 fn dispatcher(endpoints: &[&str]) -> Dispatcher {
     let mut dispatcher = Dispatcher::new(settings("g1"));
     dispatcher.on_release(release(3));
     for id in endpoints {
         for service in [MODEL_SERVICE, PLAIN_SERVICE] {
-            dispatcher.endpoints.on_entry(ms(0), entry(&format!("{service}-{id}"), service, 1, 1));
+            let entry = entry(&format!("{service}-{id}"), service, 1, 1);
+            dispatcher.endpoints.on_entry(ms(0), Entry { capacity: CAPACITY, ..entry });
         }
     }
     dispatcher
@@ -74,6 +79,8 @@
         let before = admitted.clone();
         if dispatcher.replace_silent(ms(400), &mut admitted, &target, false).is_some() {
             replaced += 1;
+            // Only the budget is to prevent a replacement, not the ejection of a silent endpoint.
+            dispatcher.endpoints.on_success(&target.id);
             continue;
         }
         assert_eq!(format!("{admitted:?}"), format!("{before:?}"));
@@ -98,3 +105,34 @@
     admitted.deadline = ms(300);
     assert_goes_on(&mut dispatcher, admitted, &silent);
 }
+
+/// Guards against ending a working attempt for one that its endpoint refuses.
+#[test]
+fn silent_attempt_goes_on_if_the_other_endpoint_refuses_requests() {
+    let mut dispatcher = dispatcher(&["1", "2"]);
+    let (admitted, silent) = send(&mut dispatcher, "a1", "/look/1");
+    let other = if silent.id.ends_with('1') { "2" } else { "1" };
+    dispatcher.endpoints.on_refused(&format!("{PLAIN_SERVICE}-{other}"), ms(500));
+    assert_goes_on(&mut dispatcher, admitted, &silent);
+}
+
+/// Guards against ending a working attempt for one that its endpoint has no room for.
+#[test]
+fn silent_attempt_goes_on_if_the_other_endpoint_is_full() {
+    let mut dispatcher = dispatcher(&["1", "2"]);
+    let (admitted, silent) = send(&mut dispatcher, "a1", "/look/1");
+    let other = if silent.id.ends_with('1') { "2" } else { "1" };
+    for _ in 0..CAPACITY {
+        dispatcher.endpoints.on_sent(ms(20), &format!("{PLAIN_SERVICE}-{other}"), 0);
+    }
+    assert_goes_on(&mut dispatcher, admitted, &silent);
+}
+
+/// Guards against ending a working attempt for one that cannot be answered before the deadline.
+#[test]
+fn silent_attempt_goes_on_if_too_little_time_is_left_for_another() {
+    let mut dispatcher = dispatcher(&["1", "2"]);
+    let (mut admitted, silent) = send(&mut dispatcher, "a1", "/look/1");
+    admitted.deadline = ms(400) + admitted.latency_target / 2;
+    assert_goes_on(&mut dispatcher, admitted, &silent);
+}
