Wait for renewals from the latest return of the store

What callers would see: after two restorations, or a restoration and an outage, within some seconds, a live endpoint is taken for gone at all gateways and gets no requests.

Evidence: keeps_endpoint_while_a_second_restoration_may_have_lost_its_entry failed before (the endpoint was removed at 4.5 s, 0.5 s after the second restoration).

--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -312,6 +312,10 @@
         if self.is_store_unavailable {
             self.is_store_unavailable = false;
             self.store_available_at = Some(now);
+            let lapses_at = now + RENEWAL_AFTER_OUTAGE;
+            for endpoint in self.endpoints.values_mut().filter(|each| each.lapses_at.is_some()) {
+                endpoint.lapses_at = Some(lapses_at);
+            }
         }
     }
 
--- a/forwarding/tests/endpoints.rs
+++ b/forwarding/tests/endpoints.rs
@@ -74,6 +74,21 @@
     assert!(table.get("b").is_some());
 }
 
+/// Guards against removing a live endpoint whose entry two restorations in a row have lost.
+#[test]
+fn keeps_endpoint_while_a_second_restoration_may_have_lost_its_entry() {
+    let mut table = EndpointTable::default();
+    table
+        .on_snapshot(ms(0), vec![entry("a", MODEL_SERVICE, 5, 1), entry("b", MODEL_SERVICE, 5, 1)]);
+    table.on_store_restored(ms(2_000));
+    table.on_snapshot(ms(2_010), vec![entry("a", MODEL_SERVICE, 5, 1)]);
+    table.on_store_restored(ms(4_000));
+    table.on_snapshot(ms(4_010), vec![entry("a", MODEL_SERVICE, 5, 1)]);
+    assert!(table.tick(ms(4_500)).is_empty());
+    table.on_entry(ms(5_900), entry("b", MODEL_SERVICE, 5, 1));
+    assert!(table.tick(ms(9_000)).is_empty());
+}
+
 #[test]
 fn removes_endpoints_missing_from_snapshot() {
     let mut table = EndpointTable::default();
