End a stopping gateway only after several checks without an open request

What callers saw: tries that end 'cut, no answer' around planned stops, also after.

What had arrived and was not read yet, and what was on its way on accepted connections, was reset.

Evidence: request_under_way_when_nothing_is_open_is_refused_with_an_answer got an empty answer before.

--- a/gateway/src/frontend.rs
+++ b/gateway/src/frontend.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::{future, io};
 
 use bytes::Bytes;
 use forwarding::dispatcher::{Dispatcher, Outcome};
@@ -46,12 +47,16 @@
 /// Request bodies may take the process's memory divided by this.
 const BODY_MEMORY_DIVISOR: u64 = 4;
 
-/// Accepts and serves callers' connections. All of them are closed when this is dropped.
+/// Accepts callers' connections until the last phase of the shutdown, and serves them. All of them
+/// are closed when this is dropped.
 pub(crate) async fn serve(context: Context, listener: TcpListener) {
     let mut connections = JoinSet::new();
+    let mut listener = Some(listener);
+    let mut ending = shutdown::wait_until(Phase::Ending, context.phase.clone());
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
+            () = &mut ending, if listener.is_some() => listener = None,
+            accepted = accept(&listener) => match accepted {
                 Ok((stream, caller)) => {
                     connections.spawn(serve_connection(context.clone(), stream, caller));
                 }
@@ -69,6 +74,13 @@
     }
 }
 
+async fn accept(listener: &Option<TcpListener>) -> io::Result<(TcpStream, SocketAddr)> {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => future::pending().await,
+    }
+}
+
 async fn serve_connection(context: Context, stream: TcpStream, caller: SocketAddr) {
     if stream.set_nodelay(true).is_err() {
         return;
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -29,6 +29,10 @@
 /// Interval at which the number of open requests is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Consecutive checks without an open request after which a phase ends. A request that has arrived
+/// but is not read yet counts as open at a later check only.
+const QUIET_CHECKS: u32 = 3;
+
 /// Phase of the shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Phase {
@@ -38,7 +42,7 @@
     Leaving,
     /// Requests in progress are finished; new requests are refused.
     Closing,
-    /// The grace time ends; requests without an answer get an error.
+    /// No connection is accepted any more, and requests without an answer get an error.
     Ending,
 }
 
@@ -96,10 +100,12 @@
     log_phase(&context, "stopped");
 }
 
-/// Waits until all answers are written, or until the deadline.
+/// Waits until all answers are written and no request follows, or until the deadline.
 async fn wait_until_answered(context: &Context, deadline: Duration) {
-    while context.now() < deadline && context.open_requests.total() > 0 {
+    let mut quiet_checks = 0;
+    while context.now() < deadline && quiet_checks < QUIET_CHECKS {
         time::sleep(POLL_INTERVAL).await;
+        quiet_checks = if context.open_requests.total() > 0 { 0 } else { quiet_checks + 1 };
     }
 }
 
