--- a/rhubarbrockd/tests/soak/faults.rs
+++ b/rhubarbrockd/tests/soak/faults.rs
@@ -17,6 +17,13 @@
 /// Number of faults in a run. With few, some gateways keep contact with the store, so that the time
 /// bounds apply to them; with many, faults overlap.
 const FAULT_COUNT: std::ops::RangeInclusive<u32> = 3..=14;
+
+/// Time for which a sound replica may be silent.
+const MAX_SILENCE: Duration = Duration::from_millis(1_300);
+
+/// Time for which the store is away before it comes back from a copy.
+const STORE_OUTAGE: Duration = Duration::from_millis(500);
+
 /// Longest duration of a fault, in milliseconds.
 const MAX_FAULT_MS: u64 = 3_500;
 
@@ -32,6 +39,10 @@
     ReplicaMode(usize, Mode),
     Drain(usize),
     ChangeKeys,
+    /// A replica is silent for a time in its answers, which is no disturbance.
+    Silence(usize, Mode),
+    /// The store comes back from a copy that is as old as the fault lasts.
+    RestoreStore,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -61,12 +72,16 @@
     }
 }
 
+fn silence(random: &mut ChaCha8Rng) -> Mode {
+    Mode::SilentAfter(random.random_range(0..10), MAX_SILENCE)
+}
+
 /// Draws faults with random start times and durations; some overlap, and some follow one another.
 pub(crate) fn plan(random: &mut ChaCha8Rng) -> Vec<PlannedFault> {
     let draw = |random: &mut ChaCha8Rng| {
         let gateway = random.random_range(0..GATEWAYS);
         let replica = random.random_range(0..REPLICAS);
-        let fault = match random.random_range(0..12) {
+        let fault = match random.random_range(0..15) {
             0 => Fault::Kill(gateway),
             1 | 2 => Fault::Terminate(gateway),
             3 => Fault::TerminateAll,
@@ -76,7 +91,9 @@
             8 => Fault::ReplicaLink(replica, link(random)),
             9 => Fault::ReplicaMode(replica, mode(random)),
             10 => Fault::Drain(replica),
-            _ => Fault::ChangeKeys,
+            11 => Fault::ChangeKeys,
+            12 => Fault::Silence(replica, silence(random)),
+            _ => Fault::RestoreStore,
         };
         let delay = Duration::from_millis(random.random_range(0..FAULT_PERIOD.as_millis() as u64));
         let duration = Duration::from_millis(random.random_range(200..MAX_FAULT_MS));
@@ -129,6 +146,12 @@
         }
         Fault::Drain(replica) => testbed.drain(replica, planned.duration).await,
         Fault::ChangeKeys => testbed.change_keys(),
+        Fault::Silence(replica, mode) => {
+            testbed.replicas[replica].replica.set_mode(mode);
+            time::sleep(planned.duration).await;
+            testbed.replicas[replica].replica.set_mode(Mode::Healthy);
+        }
+        Fault::RestoreStore => restore(&testbed, planned.duration).await,
     }
 }
 
@@ -161,3 +184,17 @@
     process.child.signal("CONT");
     testbed.end_disturbance(disturbance);
 }
+
+/// Takes a copy of the store, and restores it after `duration` and a short outage. What the operator
+/// and the replicas have written since is written again, in another order.
+async fn restore(testbed: &Testbed, duration: Duration) {
+    testbed.store.take_copy();
+    time::sleep(duration).await;
+    let disturbance = testbed.begin_disturbance(Target::Store);
+    testbed.store.set_down(true);
+    time::sleep(STORE_OUTAGE).await;
+    testbed.store.restore();
+    testbed.store.write_lost_again();
+    testbed.store.set_down(false);
+    testbed.end_disturbance(disturbance);
+}
