--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -17,8 +17,8 @@
 use crate::logger;
 use crate::pool::Connection;
 
-/// Time without an event after which a stream is resumed at another endpoint if possible, as a multiple of the
-/// route's gap target. Callers give up after eight gap targets.
+/// Time without an event after which a stream is resumed at another endpoint if possible, as a
+/// multiple of the route's gap target. Callers give up after eight gap targets.
 const IDLE_TIMEOUT_GAPS: f64 = 5.0;
 
 /// Minimum time without an event after which a stream is resumed at another endpoint. Callers give
@@ -35,8 +35,8 @@
     pub(crate) relay: Relay,
 }
 
-/// Reads a stream, and resumes it at another endpoint if it breaks, or if it stops and another endpoint
-/// can be tried.
+/// Reads a stream, and resumes it at another endpoint if it breaks, or if it stops and another
+/// endpoint can be tried.
 pub(crate) struct Relay {
     exchange: Exchange,
     source: Option<Source>,
