--- a/forwarding/src/lease.rs
+++ b/forwarding/src/lease.rs
@@ -110,6 +110,7 @@
     fn is_current(&self) -> bool {
         match &self.record {
             Some(record) => record.epoch >> EPOCH_OFFSET_BITS == self.era,
+            // A later era may have lost a record.
             None => self.era == 0,
         }
     }
