End streams at the deadline while bytes keep coming

Cause: the clock was asked only when no frame was ready, each frame renewed the time for silence, and two line feeds counted as an event. With events instead of line feeds a caller received 560 MB in 80 s at a deadline of 1.5 s, in one attempt, which rules out repeated attempts and the cost of splitting.

The clock is read before every frame; the time for silence runs from event to event; blank lines and comments are no events, and belong to the next one.

--- a/forwarding/src/event_stream.rs
+++ b/forwarding/src/event_stream.rs
@@ -37,21 +37,30 @@
 }
 
 /// Splits the bytes of a stream into events.
+///
+/// Blank lines and comments are no events; they are part of the event that follows them.
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: Vec<u8>,
+    /// Bytes at the start of the buffer that have been returned.
+    returned_bytes: usize,
+    /// Bytes after these that are complete lines of an incomplete event.
     scanned_bytes: usize,
+    /// Whether one of these lines has a field.
+    has_field: bool,
 }
 
 impl Splitter {
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.drain(..self.returned_bytes);
+        self.returned_bytes = 0;
         self.buffer.extend_from_slice(bytes);
     }
 
     /// Whether there are bytes of an incomplete event.
     pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        self.has_field || !self.unscanned().is_empty()
     }
 
     /// Returns the next complete event, or `None` if more bytes are needed.
@@ -59,31 +68,38 @@
     /// Fails with [`StreamError::TooLong`] if an incomplete event exceeds the maximum length.
     #[allow(clippy::should_implement_trait)]
     pub fn next(&mut self) -> Result<Option<Event>, StreamError> {
-        let Some(end) = self.event_end() else {
-            if self.buffer.len() > MAX_EVENT_BYTES {
-                return Err(StreamError::TooLong);
+        while let Some(line_bytes) = self.unscanned().iter().position(|&byte| byte == b'\n') {
+            let line = &self.unscanned()[..line_bytes];
+            let is_blank = line.is_empty() || line == b"\r";
+            let is_comment = line.starts_with(b":");
+            self.scanned_bytes += line_bytes + 1;
+            if is_blank && self.has_field {
+                let bytes = self.take_scanned();
+                return Ok(Some(Event { id: event_id(&bytes), bytes }));
             }
-            return Ok(None);
-        };
-        let rest = self.buffer.split_off(end);
-        let bytes = std::mem::replace(&mut self.buffer, rest);
-        self.scanned_bytes = 0;
-        Ok(Some(Event { id: event_id(&bytes), bytes }))
+            self.has_field |= !is_blank && !is_comment;
+        }
+        if self.buffer.len() - self.returned_bytes > MAX_EVENT_BYTES {
+            return Err(StreamError::TooLong);
+        }
+        Ok(None)
     }
 
-    fn event_end(&mut self) -> Option<usize> {
-        let from = self.scanned_bytes.saturating_sub(3);
-        for at in from..self.buffer.len() {
-            let rest = &self.buffer[at..];
-            if rest.starts_with(b"\n\n") {
-                return Some(at + 2);
-            }
-            if rest.starts_with(b"\n\r\n") {
-                return Some(at + 3);
-            }
-        }
-        self.scanned_bytes = self.buffer.len();
-        None
+    /// Takes the blank lines and comments after the last event, at the end of a stream without a
+    /// partial event.
+    pub fn take_rest(&mut self) -> Vec<u8> {
+        self.take_scanned()
+    }
+
+    fn unscanned(&self) -> &[u8] {
+        &self.buffer[self.returned_bytes + self.scanned_bytes..]
+    }
+
+    fn take_scanned(&mut self) -> Vec<u8> {
+        let start = self.returned_bytes;
+        self.returned_bytes += std::mem::take(&mut self.scanned_bytes);
+        self.has_field = false;
+        self.buffer[start..self.returned_bytes].to_vec()
     }
 }
 
--- a/forwarding/tests/event_stream.rs
+++ b/forwarding/tests/event_stream.rs
@@ -41,6 +41,40 @@
     });
 }
 
+/// Guards against counting line feeds and comments as progress of a stream.
+#[test]
+fn blank_lines_and_comments_are_no_events() {
+    let text = b"\n\n\r\n: comment\n\nid: 1\ndata: a\n\n\n\n: comment\n\n";
+    let (found, has_partial_event) = events(&[text]);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].0, Some(1));
+    assert!(!has_partial_event);
+}
+
+/// Guards against bytes that are lost between two events or at the end of a stream.
+#[test]
+fn all_bytes_of_a_whole_stream_are_passed_on() {
+    let text = b"\n\nid: 1\ndata: a\n\n\n\nid: 2\ndata: b\n\n: end\n\n\n";
+    let mut splitter = Splitter::default();
+    let mut passed = Vec::new();
+    for byte in text.chunks(1) {
+        splitter.push(byte);
+        while let Some(event) = splitter.next().unwrap() {
+            passed.extend(event.bytes);
+        }
+    }
+    assert!(!splitter.has_partial_event());
+    passed.extend(splitter.take_rest());
+    assert_eq!(passed, text);
+}
+
+#[test]
+fn rejects_blank_lines_without_end() {
+    let mut splitter = Splitter::default();
+    splitter.push(&vec![b'\n'; 300 * 1024]);
+    assert_eq!(splitter.next(), Err(StreamError::TooLong));
+}
+
 #[test]
 fn rejects_too_long_event() {
     let mut splitter = Splitter::default();
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -195,26 +195,40 @@
         }
     }
 
-    /// Waits for the next part of an answer until the deadline. After a silence of `timeout`, the
-    /// attempt ends as soon as another one can be made; [`Exchange::fail`] then keeps that one.
+    /// Waits for the next part of an answer until the deadline. From `silent_at` on, the attempt ends
+    /// as soon as another one can be made; [`Exchange::fail`] then keeps that one.
     pub(crate) async fn wait<T>(
         &mut self,
         part: impl Future<Output = T>,
-        mut timeout: Duration,
+        silent_at: &mut Duration,
     ) -> Result<T, Outcome> {
         let mut part = pin::pin!(part);
         loop {
-            let time_left = self.admitted.time_left(self.context.now());
-            if let Ok(part) = time::timeout(timeout.min(time_left), part.as_mut()).await {
-                return Ok(part);
-            }
             let now = self.context.now();
-            if self.admitted.time_left(now).is_zero() || self.replace_silent(now) {
-                return Err(Outcome::TimedOut);
+            let timeout = silent_at.saturating_sub(now).min(self.admitted.time_left(now));
+            if let Ok(part) = time::timeout(timeout, part.as_mut()).await {
+                return Ok(part);
             }
-            let may_run_again = self.admitted.may_run_again();
-            timeout = if may_run_again { SILENCE_CHECK_INTERVAL } else { Duration::MAX };
+            self.check_progress(silent_at)?;
+        }
+    }
+
+    /// Fails if the deadline has passed, or if the attempt has been silent since `silent_at` and
+    /// another one has replaced it. Otherwise, sets `silent_at` to the time of the next check.
+    pub(crate) fn check_progress(&mut self, silent_at: &mut Duration) -> Result<(), Outcome> {
+        let now = self.context.now();
+        if self.admitted.time_left(now).is_zero() {
+            return Err(Outcome::TimedOut);
+        }
+        if now < *silent_at {
+            return Ok(());
+        }
+        if self.replace_silent(now) {
+            return Err(Outcome::TimedOut);
         }
+        let may_run_again = self.admitted.may_run_again();
+        *silent_at = if may_run_again { now + SILENCE_CHECK_INTERVAL } else { Duration::MAX };
+        Ok(())
     }
 
     /// Replaces the current attempt by one at another endpoint; returns whether that was possible.
@@ -350,10 +364,9 @@
         *request.method_mut() = self.outgoing.method.clone();
         *request.uri_mut() = self.outgoing.uri.clone();
         *request.headers_mut() = headers::encode_request(&self.outgoing.headers, &gateway_headers);
-        let first_event_timeout = self.first_event_timeout(now);
+        let mut silent_at = now.saturating_add(self.first_event_timeout(now));
         let answer =
-            match self.wait(connection.sender.try_send_request(request), first_event_timeout).await
-            {
+            match self.wait(connection.sender.try_send_request(request), &mut silent_at).await {
                 Err(outcome) => return Err(SendError::Sent(outcome)),
                 Ok(Err(mut error)) => {
                     let was_sent = error.take_message().is_none();
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -109,15 +109,18 @@
         (!events.is_empty()).then(|| Ok(events.into()))
     }
 
-    /// Reads until an event is complete or the stream ends. `timeout` applies to each frame.
+    /// Reads until an event is complete or the stream ends. `timeout` applies to the whole event.
     async fn read_events(&mut self, timeout: Duration) -> Result<Progress, Outcome> {
+        let mut silent_at = self.exchange.context.now().saturating_add(timeout);
         loop {
+            // A frame that is always ready must not keep the clock from being read.
+            self.exchange.check_progress(&mut silent_at)?;
             if self.buffer_events()? {
                 self.exchange.on_first_event();
                 return Ok(Progress::Events);
             }
             let Some(source) = &mut self.source else { return Err(Outcome::Broken) };
-            match self.exchange.wait(source.body.frame(), timeout).await? {
+            match self.exchange.wait(source.body.frame(), &mut silent_at).await? {
                 Some(Err(_)) => return Err(Outcome::Broken),
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
@@ -128,6 +131,7 @@
                 // An endpoint that takes up a broken stream has at least one event left.
                 None if self.awaits_continuation => return Err(Outcome::Failed),
                 None => {
+                    self.buffered.extend(self.splitter.take_rest());
                     self.finish();
                     return Ok(Progress::Ended);
                 }
