Let transfers go on while their bytes arrive

Cause: listings and handovers had 1.2 s in all. Behind a link of 10 Mbit/s a listing of 1.2 MB takes a second alone, and longer beside a handover; it was broken off and started anew. The store is not to blame: the median gateway had each release within 1.5 s.

Failed before: call_goes_on_while_its_answer_arrives ("no answer within 300 ms").

--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -15,6 +15,7 @@
 use crate::clock::BootClock;
 use crate::open_requests::Counters;
 use crate::pool::Pool;
+use crate::release_record::ReleaseRecord;
 use crate::shutdown::Phase;
 
 /// State that a [`Context`] refers to.
@@ -36,8 +37,8 @@
     pub(crate) open_requests: Arc<Counters>,
     /// Phase of the shutdown.
     pub(crate) phase: watch::Receiver<Phase>,
-    /// Encoded release in force, as read from the store; empty if there is none.
-    release_record: Mutex<Bytes>,
+    /// Release in force, as read from the store.
+    release_record: Mutex<ReleaseRecord>,
     /// Latest era of the store; `None` until it is known.
     store_era: watch::Sender<Option<StoreEra>>,
 }
@@ -76,7 +77,7 @@
             body_bytes: AtomicUsize::new(0),
             open_requests: Arc::default(),
             phase,
-            release_record: Mutex::new(Bytes::new()),
+            release_record: Mutex::default(),
             store_era: watch::Sender::new(None),
         };
         Context { shared: Arc::new(shared), clock }
@@ -102,12 +103,13 @@
     }
 
     /// Encoded release in force; empty if there is none.
-    pub(crate) fn release_record(&self) -> Bytes {
+    pub(crate) fn release_record(&self) -> ReleaseRecord {
         self.release_record.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Sets the encoded release in force.
-    pub(crate) fn set_release_record(&self, record: Bytes) {
+    pub(crate) fn set_release_record(&self, encoded: Bytes) {
+        let record = ReleaseRecord::new(encoded);
         *self.release_record.lock().unwrap_or_else(PoisonError::into_inner) = record;
     }
 
--- a/gateway/src/handover.rs
+++ b/gateway/src/handover.rs
@@ -10,7 +10,7 @@
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use platform::channel::Channel;
+use platform::channel::{self, CallLimits, Channel};
 use prost::Message;
 use rhubarbrock_schema::gossip;
 use slog::{info, warn};
@@ -19,14 +19,21 @@
 
 use crate::context::Context;
 use crate::gossip as gossip_reports;
+use crate::release_record;
 use crate::server::{self, ClientSettings};
 use crate::store_watch;
 
 /// Path of the handover.
 const PATH: &str = "/handover";
 
-/// Timeout of a call, and maximum age of a connection at the source.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Maximum silence of either side of a handover.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
+
+/// Header by which a gateway that requests a handover states that it can inflate the release.
+const ACCEPT_ENCODING: &str = "accept-encoding";
+
+/// Value of that header.
+const DEFLATE: &str = "deflate";
 
 /// Maximum number of gateways that are tried in a row. Some of them may be unreachable or have too
 /// many transfers in progress.
@@ -42,9 +49,9 @@
 /// Every handover uses a new connection, so their number is that of the transfers.
 const GATEWAY_CLIENTS: ClientSettings = ClientSettings {
     connection_kind: "a gateway connection",
-    idle_timeout: CALL_TIMEOUT,
+    idle_timeout: SILENCE_TIMEOUT,
     max_connections: MAX_TRANSFERS,
-    max_age: Some(CALL_TIMEOUT),
+    max_age: Some(channel::MAX_TRANSFER_TIME),
 };
 
 /// Serves this gateway's release and endpoints to other gateways.
@@ -58,10 +65,24 @@
         *response.status_mut() = StatusCode::NOT_FOUND;
         return response;
     }
+    let endpoints = {
+        let dispatcher = context.dispatcher();
+        dispatcher.endpoints.iter().map(gossip_reports::encode_joined).collect()
+    };
+    let accepted = request.headers().get(ACCEPT_ENCODING);
     let release = context.release_record();
-    let dispatcher = context.dispatcher();
-    let endpoints = dispatcher.endpoints.iter().map(gossip_reports::encode_joined).collect();
-    let handover = gossip::Handover { release: release.to_vec(), endpoints };
+    let handover = match accepted.is_some_and(|encoding| encoding == DEFLATE) {
+        true => gossip::Handover {
+            deflated_release: release.deflated().to_vec(),
+            endpoints,
+            ..gossip::Handover::default()
+        },
+        false => gossip::Handover {
+            release: release.encoded().to_vec(),
+            endpoints,
+            ..gossip::Handover::default()
+        },
+    };
     Response::new(Full::new(handover.encode_to_vec().into()))
 }
 
@@ -144,14 +165,21 @@
 
 async fn request(address: SocketAddr) -> anyhow::Result<gossip::Handover> {
     let mut channel = Channel::new(address);
-    let answer = channel.call(Method::GET, PATH, &[], Bytes::new(), CALL_TIMEOUT).await?;
+    let headers = [(ACCEPT_ENCODING, DEFLATE.to_owned())];
+    let limits = CallLimits::transfer(SILENCE_TIMEOUT);
+    let answer = channel.call(Method::GET, PATH, &headers, Bytes::new(), limits).await?;
     anyhow::ensure!(answer.status == StatusCode::OK, "expected status 200, got {}", answer.status);
-    Ok(gossip::Handover::decode(answer.body)?)
+    let mut handover = gossip::Handover::decode(answer.body)?;
+    if !handover.deflated_release.is_empty() {
+        handover.release = release_record::inflate(&handover.deflated_release)?;
+    }
+    Ok(handover)
 }
 
 fn apply(context: &Context, source: SocketAddr, handover: &gossip::Handover) {
     info!(context.logger, "handover"; "source" => %source,
-        "release_bytes" => handover.release.len(), "endpoints" => handover.endpoints.len());
+        "release_bytes" => handover.release.len(),
+        "deflated_bytes" => handover.deflated_release.len(), "endpoints" => handover.endpoints.len());
     if !handover.release.is_empty() {
         store_watch::apply_release_record(context, &handover.release);
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod open_requests;
 mod pool;
 mod relay;
+mod release_record;
 mod reporter;
 pub mod run;
 mod server;
--- a/gateway/src/server.rs
+++ b/gateway/src/server.rs
@@ -25,7 +25,8 @@
 pub(crate) struct ClientSettings {
     /// Name of a connection in log lines, with an article.
     pub(crate) connection_kind: &'static str,
-    /// Maximum time until the next request head is complete.
+    /// Maximum time until the next request head is complete, and for which a client may leave sent
+    /// bytes unacknowledged.
     pub(crate) idle_timeout: Duration,
     /// Maximum number of connections; others are closed at once.
     pub(crate) max_connections: usize,
@@ -45,6 +46,10 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let Ok(slot) = slots.clone().try_acquire_owned() else { continue };
+                let timeout = Some(clients.idle_timeout);
+                if socket2::SockRef::from(&stream).set_tcp_user_timeout(timeout).is_err() {
+                    continue;
+                }
                 let (context, respond) = (context.clone(), respond.clone());
                 tokio::spawn(async move {
                     let _slot = slot;
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use forwarding::endpoints::{Change, Entry};
 use forwarding::store_role::StoreRole;
+use platform::channel::Progress;
 use platform::store::{self, Listing, ReadResult, Record, StoreClient, StoreError};
 use platform::{config, replicas};
 use slog::{info, warn};
@@ -13,11 +14,11 @@
 
 use crate::context::Context;
 
-/// Timeout of a call; the store usually answers within a few milliseconds.
-const CALL_TIMEOUT: Duration = Duration::from_millis(450);
+/// Maximum silence of the store during a read; it usually answers within a few milliseconds.
+const READ_SILENCE_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// Timeout of a page of a listing.
-const LISTING_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Maximum silence of the store during a listing.
+const LISTING_SILENCE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
@@ -45,7 +46,7 @@
     health: &mut StoreHealth,
 ) -> Listing {
     loop {
-        match store.list_newest(topic, LISTING_TIMEOUT).await {
+        match store.list_newest(topic, LISTING_SILENCE_TIMEOUT).await {
             Ok(listing) => {
                 health.on_answer(context, store);
                 info!(context.logger, "topic listed"; "topic" => topic, "era" => store.era(),
@@ -72,8 +73,17 @@
     let mut store = StoreClient::new(address);
     let mut health = StoreHealth::new(Topic::Releases, &context);
     loop {
-        let listing =
-            list_until_answered(&context, &mut store, store::OPERATOR_TOPIC, &mut health).await;
+        let listing = tokio::select! {
+            listing = list_until_answered(&context, &mut store, store::OPERATOR_TOPIC, &mut health) => {
+                listing
+            }
+            () = wait_until_release_is_known(&context) => {
+                info!(context.logger, "listing of releases is not needed any more");
+                store = StoreClient::new(address);
+                wait_until_release_is_needed(&context).await;
+                continue;
+            }
+        };
         apply_release_records(&context, &listing.records);
         let listed_era = store.era();
         let mut next_offset = listing.end_offset;
@@ -86,10 +96,12 @@
                     () = wait_for_reader_role(&context) => {}
                 }
             }
-            let read = store.read(store::OPERATOR_TOPIC, next_offset, read_interval, CALL_TIMEOUT);
+            let progress = store.progress();
+            let topic = store::OPERATOR_TOPIC;
+            let read = store.read(topic, next_offset, read_interval, READ_SILENCE_TIMEOUT);
             let read = tokio::select! {
                 read = read => read,
-                () = wait_for_newer_release(&context) => {
+                () = wait_for_newer_release_elsewhere(&context, &progress) => {
                     info!(context.logger, "another gateway reports a newer release");
                     store = StoreClient::new(address);
                     break;
@@ -120,17 +132,51 @@
     }
 }
 
+/// Whether another gateway reports a newer release than the one in force here, or there is none.
+fn is_release_behind(context: &Context) -> bool {
+    let dispatcher = context.dispatcher();
+    let version = dispatcher.release_version();
+    version == 0 || dispatcher.peers.newest_release_version() > version
+}
+
 /// Waits until another gateway reports a newer release.
 async fn wait_for_newer_release(context: &Context) {
     loop {
         time::sleep(PEER_POLL_INTERVAL).await;
-        let dispatcher = context.dispatcher();
-        if dispatcher.peers.newest_release_version() > dispatcher.release_version() {
+        if is_release_behind(context) {
             return;
         }
     }
 }
 
+/// Waits until another gateway reports a newer release while the answer to a read makes no progress.
+/// An answer that arrives probably holds that release, and would have to be read from the start.
+async fn wait_for_newer_release_elsewhere(context: &Context, progress: &Progress) {
+    loop {
+        let known_bytes = progress.bytes();
+        wait_for_newer_release(context).await;
+        if progress.bytes() == known_bytes {
+            return;
+        }
+    }
+}
+
+/// Waits until this gateway needs no listing: it is no reader, and has the newest release that any
+/// gateway reports.
+async fn wait_until_release_is_known(context: &Context) {
+    while is_release_behind(context) || context.dispatcher().store_role.is_reader() {
+        time::sleep(PEER_POLL_INTERVAL).await;
+    }
+}
+
+/// Waits until this gateway is a reader, or another one reports a newer release.
+async fn wait_until_release_is_needed(context: &Context) {
+    tokio::select! {
+        () = wait_for_newer_release(context) => {}
+        () = wait_for_reader_role(context) => {}
+    }
+}
+
 fn apply_release_records(context: &Context, records: &[Record]) {
     let values = records.iter().filter(|record| record.key == config::KEY);
     for value in values.filter_map(|record| record.value.as_ref()) {
@@ -171,7 +217,9 @@
                 health = StoreHealth::new(Topic::Entries, &context);
                 break;
             }
-            match store.read(store::REPLICAS_TOPIC, next_offset, Duration::ZERO, CALL_TIMEOUT).await
+            match store
+                .read(store::REPLICAS_TOPIC, next_offset, Duration::ZERO, READ_SILENCE_TIMEOUT)
+                .await
             {
                 // Offsets were given out again, so records may have been skipped.
                 Ok(_) if store.era() != listed_era => break,
