Limit the memory of all incomplete answers together

Operators of systems like ours saw a machine run out of memory, and the requests of all its clients end, as a replica sent bytes without end. Here a gateway process took 612 MiB for 600 such bodies at once, on instances of 160 to 512 MB.

Cause: each answer had a bound (4 MiB, 256 KiB an event), all together had none. Now 16 KiB are granted to each, and all share an eighth of the memory beyond that; heads are limited to 32 KiB.

Failed before: bodies_without_end_do_not_use_up_the_memory (642 MB of 256 MiB allowed). Now 88 MiB for bodies, 94 to 102 for events (154 before), 31 to 32 for heads (120 before).

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -7,6 +7,7 @@
 
 use derive_more::Display;
 
+use crate::answer_memory::AnswerMemory;
 use crate::arrivals::{ArrivalMeter, ArrivalRates};
 use crate::endpoints::{EndpointId, EndpointTable};
 use crate::peers::Peers;
@@ -165,6 +166,8 @@
     pub store_answer_times: StoreAnswerTimes,
     /// Work rates of services with model engines.
     pub arrival_meter: ArrivalMeter,
+    /// Memory of incomplete answers.
+    pub answer_memory: AnswerMemory,
     release: Option<Arc<Release>>,
     retry_budget: RetryBudget,
 }
@@ -173,6 +176,7 @@
     /// Creates a dispatcher without release, endpoints or peers.
     pub fn new(settings: Settings) -> Dispatcher {
         let accounts = Accounts::new(settings.bounds.quota);
+        let answer_memory = AnswerMemory::new(settings.memory_bytes);
         Dispatcher {
             settings,
             endpoints: EndpointTable::default(),
@@ -184,6 +188,7 @@
             store_role: StoreRole::default(),
             store_answer_times: StoreAnswerTimes::default(),
             arrival_meter: ArrivalMeter::default(),
+            answer_memory,
             release: None,
             retry_budget: RetryBudget::default(),
         }
--- a/forwarding/src/event_stream.rs
+++ b/forwarding/src/event_stream.rs
@@ -58,6 +58,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Length of what has not been returned, in bytes.
+    pub fn held_bytes(&self) -> usize {
+        self.buffer.len() - self.returned_bytes
+    }
+
     /// Whether there are bytes of an incomplete event.
     pub fn has_partial_event(&self) -> bool {
         self.has_field || !self.unscanned().is_empty()
@@ -79,7 +84,7 @@
             }
             self.has_field |= !is_blank && !is_comment;
         }
-        if self.buffer.len() - self.returned_bytes > MAX_EVENT_BYTES {
+        if self.held_bytes() > MAX_EVENT_BYTES {
             return Err(StreamError::TooLong);
         }
         Ok(None)
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -17,6 +17,7 @@
 //! assert!(splitter.next().unwrap().is_none());
 //! ```
 
+pub mod answer_memory;
 pub mod arrivals;
 pub mod catch_up;
 mod departures;
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -8,21 +8,18 @@
 use forwarding::endpoints::Change;
 use forwarding::refusal::RefusalReason;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use platform::headers::{self, AnswerHead, GatewayHeaders};
 use slog::{info, warn};
 use tokio::time;
 
+use crate::answer_buffer;
 use crate::context::{AdmittedCount, Context};
 use crate::give_up::GiveUpReason;
 use crate::logger;
 use crate::pool::Connection;
 
-/// Maximum length of an answer that is not a stream, in bytes. It is read completely before it is
-/// passed on.
-const MAX_BUFFERED_ANSWER_BYTES: usize = 4 * 1024 * 1024;
-
 /// Fraction of a repeatable request's remaining time after which another endpoint is tried.
 const FIRST_EVENT_TIMEOUT_SHARE: f64 = 0.4;
 
@@ -453,11 +450,16 @@
         self.on_first_event();
         let Answer { status, headers, head, body, connection } = answer;
         let time_left = self.admitted.time_left(self.context.now());
-        let reading = Limited::new(body, MAX_BUFFERED_ANSWER_BYTES).collect();
-        let body = match time::timeout(time_left, reading).await {
+        let body = match time::timeout(time_left, answer_buffer::read(self.context.clone(), body))
+            .await
+        {
             Err(_) => return Err(Outcome::TimedOut),
-            Ok(Err(_)) => return Err(Outcome::Broken),
-            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(error)) => {
+                info!(self.context.logger, "answer not read"; "request" => &self.admitted.attempt_id,
+                    "endpoint" => self.admitted.tried.last(), "error" => %error);
+                return Err(Outcome::Broken);
+            }
+            Ok(Ok(body)) => body,
         };
         self.return_connection(connection, &head);
         let mut response = Response::new(body);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 //! assert!(clock.now() <= clock.now());
 //! ```
 
+mod answer_buffer;
 pub mod clock;
 mod context;
 mod duties;
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -34,6 +34,10 @@
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Maximum length of the head of an answer, in bytes. hyper's own limit is too high for many heads
+/// without end at the same time.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+
 /// Connection to an endpoint, closed when dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
@@ -148,8 +152,10 @@
     let stream = connecting.await.map_err(|_| std::io::ErrorKind::TimedOut)??;
     stream.set_nodelay(true)?;
     socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let (sender, connection) =
-        http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(std::io::Error::other)?;
     let has_stray_bytes = Arc::new(AtomicBool::new(false));
     let stray_bytes_flag = Arc::clone(&has_stray_bytes);
     let task = tokio::spawn(async move {
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -12,6 +12,7 @@
 use platform::headers::AnswerHead;
 use slog::info;
 
+use crate::answer_buffer::HeldMemory;
 use crate::exchange::{Answer, Exchange};
 use crate::give_up::GiveUpReason;
 use crate::logger;
@@ -41,6 +42,8 @@
     exchange: Exchange,
     source: Option<Source>,
     splitter: Splitter,
+    /// Memory that the splitter holds.
+    memory: HeldMemory,
     position: Position,
     idle_timeout: Duration,
     /// Complete events that have not been passed to the caller yet.
@@ -73,10 +76,12 @@
     let timeout = exchange.first_event_timeout(exchange.context.now());
     let idle_timeout =
         exchange.admitted.gap_target.mul_f64(IDLE_TIMEOUT_GAPS).max(MIN_IDLE_TIMEOUT);
+    let memory = HeldMemory::new(exchange.context.clone());
     let mut relay = Relay {
         exchange,
         source: Some(Source { body, connection, head }),
         splitter: Splitter::default(),
+        memory,
         position,
         idle_timeout,
         buffered: Vec::new(),
@@ -150,6 +155,13 @@
                 Ok(Some(_)) | Err(_) => self.is_out_of_order = true,
             }
         }
+        if !self.memory.resize(self.splitter.held_bytes()) {
+            info!(self.exchange.context.logger, "event of a stream too long";
+                "request" => &self.exchange.admitted.attempt_id,
+                "endpoint" => self.exchange.admitted.tried.last(),
+                "bytes" => self.splitter.held_bytes());
+            self.is_out_of_order = true;
+        }
         if !self.position.is_resumable() {
             self.exchange.admitted.forbid_further_attempts();
         }
