Keep listing releases until the store answers

A listing that is dropped while the store fails would leave the gateway with the belief that it still does, as a listener makes no further calls to the store. Found in reading the diff; no run shows it.

--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -161,10 +161,14 @@
     }
 }
 
-/// Waits until this gateway needs no listing: it is no reader, and has the newest release that any
-/// gateway reports.
+/// Waits until this gateway needs no listing: it is no reader, the store answers it, and it has the
+/// newest release that any gateway reports.
 async fn wait_until_release_is_known(context: &Context) {
-    while is_release_behind(context) || context.dispatcher().store_role.is_reader() {
+    let is_listing_needed = || {
+        let dispatcher = context.dispatcher();
+        dispatcher.store_role.is_reader() || dispatcher.store_answer_times.is_failing
+    };
+    while is_release_behind(context) || is_listing_needed() {
         time::sleep(PEER_POLL_INTERVAL).await;
     }
 }
