Ask a silent endpoint again if the one that replaced it refuses

A sound endpoint may be silent for a second or so. A stream whose attempt was replaced for that was cut if the other endpoint refused it, and a plain request ended with 502, although the first endpoint would have gone on: every endpoint counted as tried.

The endpoint that was silent is selected once more if no other one is left.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -93,6 +93,8 @@
     pub shared_parts: SharedParts,
     /// Endpoints that it was sent to, in order.
     pub tried: Vec<EndpointId>,
+    /// Endpoint whose attempt was replaced for its silence.
+    silent: Option<EndpointId>,
     /// Number of endpoints that may have run it.
     pub possible_runs: u32,
     quota_units: f64,
@@ -288,6 +290,7 @@
             fingerprint,
             shared_parts,
             tried: Vec::new(),
+            silent: None,
             possible_runs: 0,
             quota_units,
             is_usage_counted: false,
--- a/forwarding/src/dispatcher/targets.rs
+++ b/forwarding/src/dispatcher/targets.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{AdmittedRequest, Dispatcher, Outcome, Target};
-use crate::endpoints::Endpoint;
+use crate::endpoints::{Endpoint, EndpointId};
 use crate::refusal::{RefusalReason, UNAVAILABLE_RETRY_AFTER};
 use crate::selection::{self, SelectionCriteria};
 
@@ -17,7 +17,8 @@
 }
 
 impl Dispatcher {
-    /// Selects the endpoint of the next attempt and counts the attempt as sent.
+    /// Selects the endpoint of the next attempt and counts the attempt as sent. If no other one is
+    /// left, an endpoint that was replaced for its silence is selected once more.
     ///
     /// Fails if the deadline has passed, the request crashes endpoints, no endpoint is left, or the
     /// retry budget is spent.
@@ -26,7 +27,15 @@
         now: Duration,
         admitted: &mut AdmittedRequest,
     ) -> Result<Target, RefusalReason> {
-        let endpoint = self.select_endpoint(now, admitted, admitted.possible_runs > 0)?;
+        let has_run = admitted.possible_runs > 0;
+        let selected = self.select_endpoint(now, admitted, has_run, &admitted.tried);
+        let endpoint = selected.or_else(|refusal| {
+            // An endpoint that was silent may be sound, unlike one that failed.
+            let silent = admitted.silent.take().ok_or(refusal)?;
+            let others = admitted.tried.iter().filter(|&tried| *tried != silent);
+            let others: Vec<EndpointId> = others.cloned().collect();
+            self.select_endpoint(now, admitted, has_run, &others)
+        })?;
         let (target, is_idle) = (target(endpoint, now), is_idle(endpoint, now));
         self.take_retry(now, admitted)?;
         self.on_sent(now, admitted, &target, is_idle);
@@ -38,6 +47,7 @@
         now: Duration,
         admitted: &AdmittedRequest,
         has_run: bool,
+        tried: &[EndpointId],
     ) -> Result<&Endpoint, RefusalReason> {
         if admitted.time_left(now).is_zero() {
             return Err(RefusalReason::Expired);
@@ -50,7 +60,7 @@
             service: &admitted.service,
             prompt: admitted.prompt.as_ref(),
             data_centre: &self.settings.data_centre,
-            tried: &admitted.tried,
+            tried,
         };
         selection::select(&self.endpoints, now, &criteria).ok_or_else(|| {
             selection::earliest_wait_end(&self.endpoints, now, &admitted.service)
@@ -106,13 +116,14 @@
         if !admitted.may_run_again() || admitted.time_left(now) < admitted.latency_target {
             return None;
         }
-        let endpoint = self.select_endpoint(now, admitted, true).ok()?;
+        let endpoint = self.select_endpoint(now, admitted, true, &admitted.tried).ok()?;
         if !endpoint.is_healthy(now) || endpoint.requests() >= endpoint.entry.capacity {
             return None;
         }
         let (target, is_idle) = (target(endpoint, now), is_idle(endpoint, now));
         self.take_retry(now, admitted).ok()?;
         let is_ejected = self.on_failed(now, admitted, silent, Outcome::TimedOut, had_first_event);
+        admitted.silent = Some(silent.id.clone());
         self.on_sent(now, admitted, &target, is_idle);
         Some(Replacement { target, is_ejected })
     }
--- a/forwarding/tests/silence.rs
+++ b/forwarding/tests/silence.rs
@@ -2,8 +2,9 @@
 
 mod support;
 
-use forwarding::dispatcher::{AdmittedRequest, Dispatcher, Target};
+use forwarding::dispatcher::{AdmittedRequest, Dispatcher, Outcome, Target};
 use forwarding::endpoints::Entry;
+use forwarding::refusal::RefusalReason;
 use support::{MODEL_SERVICE, PLAIN_SERVICE, entry, ms, release, request, settings};
 
 /// Capacity of each endpoint, more than the requests that a test sends.
@@ -48,6 +49,26 @@
     }
 }
 
+/// Guards against a request that no endpoint is left for, as one that was silent counts as failed.
+#[test]
+fn silent_endpoint_is_selected_again_if_the_others_refuse() {
+    for path in ["/look/1", "/write/1"] {
+        let mut dispatcher = dispatcher(&["1", "2", "3"]);
+        let (mut admitted, silent) = send(&mut dispatcher, "a1", path);
+        let replacement = dispatcher.replace_silent(ms(400), &mut admitted, &silent, false);
+        let mut target = replacement.unwrap().target;
+        for _ in 0..2 {
+            assert_ne!(target.id, silent.id);
+            dispatcher.on_failed(ms(410), &mut admitted, &target, Outcome::Refused, false);
+            target = dispatcher.next_target(ms(410), &mut admitted).unwrap();
+        }
+        assert_eq!(target.id, silent.id);
+        dispatcher.on_failed(ms(500), &mut admitted, &target, Outcome::Refused, false);
+        let refused = dispatcher.next_target(ms(500), &mut admitted);
+        assert_eq!(refused.unwrap_err(), RefusalReason::NoEndpoint, "not a third time");
+    }
+}
+
 /// Guards against ending an attempt for a silence that must not be repeated.
 #[test]
 fn silent_attempt_that_may_run_only_once_goes_on() {
