--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -132,11 +132,10 @@
     }
 }
 
-/// Whether another gateway reports a newer release than the one in force here, or there is none.
+/// Whether another gateway reports a newer release than the one in force here.
 fn is_release_behind(context: &Context) -> bool {
     let dispatcher = context.dispatcher();
-    let version = dispatcher.release_version();
-    version == 0 || dispatcher.peers.newest_release_version() > version
+    dispatcher.peers.newest_release_version() > dispatcher.release_version()
 }
 
 /// Waits until another gateway reports a newer release.
@@ -164,11 +163,13 @@
 /// Waits until this gateway needs no listing: it is no reader, the store answers it, and it has the
 /// newest release that any gateway reports.
 async fn wait_until_release_is_known(context: &Context) {
-    let is_listing_needed = || {
+    let has_release = || {
         let dispatcher = context.dispatcher();
-        dispatcher.store_role.is_reader() || dispatcher.store_answer_times.is_failing
+        let is_listing_needed =
+            dispatcher.store_role.is_reader() || dispatcher.store_answer_times.is_failing;
+        dispatcher.release_version() > 0 && !is_listing_needed
     };
-    while is_release_behind(context) || is_listing_needed() {
+    while is_release_behind(context) || !has_release() {
         time::sleep(PEER_POLL_INTERVAL).await;
     }
 }
