--- a/forwarding/src/answer_memory.rs
+++ b/forwarding/src/answer_memory.rs
@@ -19,31 +19,30 @@
 /// Memory that every answer may hold, in bytes.
 const GRANTED_BYTES: usize = 16 * 1024;
 
-/// Part of the instance's memory that all answers share, as a divisor. Buffers that grow take up to
-/// three times the bytes that they hold.
+/// Part of the instance's memory that all answers share, as a divisor.
 const MEMORY_DIVISOR: u64 = 8;
 
 /// Memory that incomplete answers hold in excess of what each is granted.
 #[derive(Debug)]
 pub struct AnswerMemory {
-    shared_bytes: usize,
-    held_bytes: usize,
+    limit_bytes: usize,
+    used_bytes: usize,
 }
 
 impl AnswerMemory {
     /// Memory on an instance with `memory_bytes` in all.
     pub fn new(memory_bytes: u64) -> AnswerMemory {
-        let shared_bytes = usize::try_from(memory_bytes / MEMORY_DIVISOR).unwrap_or(usize::MAX);
-        AnswerMemory { shared_bytes, held_bytes: 0 }
+        let limit_bytes = usize::try_from(memory_bytes / MEMORY_DIVISOR).unwrap_or(usize::MAX);
+        AnswerMemory { limit_bytes, used_bytes: 0 }
     }
 
     /// Resizes an answer; returns whether there is enough memory, and changes nothing if not.
     pub fn resize(&mut self, from_bytes: usize, to_bytes: usize) -> bool {
-        let held_by_others = self.held_bytes.saturating_sub(excess(from_bytes));
-        let held_bytes = held_by_others.saturating_add(excess(to_bytes));
-        let is_enough = to_bytes <= from_bytes || held_bytes <= self.shared_bytes;
+        let used_by_others = self.used_bytes.saturating_sub(excess(from_bytes));
+        let used_bytes = used_by_others.saturating_add(excess(to_bytes));
+        let is_enough = to_bytes <= from_bytes || used_bytes <= self.limit_bytes;
         if is_enough {
-            self.held_bytes = held_bytes;
+            self.used_bytes = used_bytes;
         }
         is_enough
     }
--- a/gateway/src/answer_buffer.rs
+++ b/gateway/src/answer_buffer.rs
@@ -78,7 +78,7 @@
         if let Ok(data) = frame.map_err(BodyError::Broken)?.into_data()
             && !buffer.append(&data)
         {
-            return Err(BodyError::TooLong);
+            return Err(BodyError::NoMemory);
         }
     }
     Ok(buffer.into_bytes())
@@ -92,5 +92,5 @@
     Broken(Box<dyn Error + Send + Sync>),
     /// There is not enough memory for it.
     #[display("not enough memory for the body")]
-    TooLong,
+    NoMemory,
 }
--- a/gateway/src/pool.rs
+++ b/gateway/src/pool.rs
@@ -34,8 +34,7 @@
 /// Time after which the kernel closes a connection whose sent bytes are not acknowledged.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Maximum length of the head of an answer, in bytes. hyper's own limit is too high for many heads
-/// without end at the same time.
+/// Maximum length of the head of an answer, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 /// Connection to an endpoint, closed when dropped.
--- a/rhubarbrockd/tests/gateway_logs.rs
+++ b/rhubarbrockd/tests/gateway_logs.rs
@@ -12,11 +12,12 @@
 
 use bytes::Bytes;
 use child::Child;
-use http::{Request, StatusCode};
+use http::StatusCode;
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use platform_standins::config::{self, HOST, KEY};
+use platform_standins::caller;
+use platform_standins::config::{self, KEY};
 use platform_standins::replica::{Mode, Replica};
 use platform_standins::store::Store;
 use tokio::net::TcpStream;
@@ -32,6 +33,9 @@
 /// Time within which the gateway must answer its first request.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time that callers wait.
+const DEADLINE: Duration = Duration::from_millis(2_000);
+
 struct Gateway {
     child: Child,
     caller_address: SocketAddr,
@@ -85,11 +89,7 @@
         }
         let sender = self.sender.as_mut()?;
         sender.ready().await.ok()?;
-        let request = Request::post("/order/1")
-            .header("Host", HOST)
-            .header("Attempt-Id", id)
-            .header("X-Api-Key", key)
-            .header("Deadline-Ms", "2000");
+        let request = caller::request("/order/1", id, key, DEADLINE);
         let request = request.body(Full::new(Bytes::from_static(b"order"))).unwrap();
         let answer = sender.send_request(request).await.ok()?;
         let status = answer.status();
--- a/rhubarbrockd/tests/gateway_memory.rs
+++ b/rhubarbrockd/tests/gateway_memory.rs
@@ -9,8 +9,9 @@
 use std::time::{Duration, Instant};
 
 use child::Child;
-use platform_standins::config::{self, HOST, KEY};
-use platform_standins::replica::Replica;
+use platform_standins::caller;
+use platform_standins::config::{self, KEY};
+use platform_standins::replica::{self, Replica};
 use platform_standins::store::Store;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -49,7 +50,7 @@
 
     /// Start of the answer to the request `id`.
     fn start(self, id: &str) -> String {
-        let head = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nReplica-Signature: s\r\n");
+        let head = replica::head_text(id);
         match self {
             Place::Head => head + "Filler: ",
             Place::Body => head + "Content-Type: text/plain\r\n\r\n",
@@ -73,7 +74,7 @@
 async fn answer(mut stream: TcpStream, place: Place) {
     let mut received = Vec::new();
     let request = loop {
-        let text = String::from_utf8_lossy(&received).to_lowercase();
+        let text = String::from_utf8_lossy(&received).into_owned();
         if text.ends_with(BODY) {
             break text;
         }
@@ -81,8 +82,8 @@
             return;
         }
     };
-    let id = request.lines().find_map(|line| line.strip_prefix("attempt-id: "));
-    let start = place.start(id.unwrap_or_default());
+    let Some(id) = replica::request_id(&request) else { return };
+    let start = place.start(&id);
     let mut is_open = stream.write_all(start.as_bytes()).await.is_ok();
     while is_open {
         is_open = stream.write_all(&[b'x'; 16 * 1024]).await.is_ok();
@@ -92,12 +93,7 @@
 /// Sends a request and waits until the connection ends; returns the first bytes of the answer.
 async fn call(callers: SocketAddr, path: &str, id: String) -> String {
     let Ok(mut stream) = TcpStream::connect(callers).await else { return String::new() };
-    let request = format!(
-        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nX-Api-Key: {KEY}\r\n\
-         Deadline-Ms: {}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{BODY}",
-        DEADLINE.as_millis(),
-        BODY.len()
-    );
+    let request = caller::request_text(path, &id, KEY, DEADLINE, BODY);
     let _ = stream.write_all(request.as_bytes()).await;
     let mut start = String::new();
     let mut buffer = vec![0; 4 * 1024];
--- a/rhubarbrockd/tests/soak/callers.rs
+++ b/rhubarbrockd/tests/soak/callers.rs
@@ -4,10 +4,11 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, StatusCode};
+use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use platform_standins::caller;
 use platform_standins::config::HOST;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -215,11 +216,7 @@
     key: &str,
     after_event: u64,
 ) -> Outcome {
-    let mut request = Request::post(format!("{}?n={id}", kind.path()))
-        .header("Host", HOST)
-        .header("Attempt-Id", id)
-        .header("X-Api-Key", key)
-        .header("Deadline-Ms", DEADLINE.as_millis().to_string());
+    let mut request = caller::request(&format!("{}?n={id}", kind.path()), id, key, DEADLINE);
     if after_event > 0 {
         request = request.header("Last-Event-Id", after_event.to_string());
     }
@@ -228,7 +225,7 @@
         let Ok(answer) = connection.sender.send_request(request).await else {
             return Outcome::ConnectionLost;
         };
-        let (status, is_from_replica) = (answer.status(), is_signed(answer.headers()));
+        let (status, is_from_replica) = (answer.status(), caller::is_signed(answer.headers()));
         let mut body = answer.into_body();
         let mut text = Vec::new();
         let mut is_complete = true;
@@ -247,10 +244,6 @@
     time::timeout(ANSWER_TIMEOUT, exchange).await.unwrap_or(Outcome::TimedOut)
 }
 
-fn is_signed(headers: &HeaderMap) -> bool {
-    headers.contains_key("replica-signature")
-}
-
 /// Id of the last complete event that the caller has after an attempt.
 fn last_event(attempt: &Attempt) -> u64 {
     let Outcome::Answered { body, .. } = &attempt.outcome else { return attempt.after_event };
--- a/rhubarbrockd/tests/soak/checks.rs
+++ b/rhubarbrockd/tests/soak/checks.rs
@@ -86,7 +86,7 @@
         let mut runs: HashMap<String, Vec<(usize, Arrival)>> = HashMap::new();
         for (index, proxied) in testbed.replicas.iter().enumerate() {
             for arrival in proxied.replica.arrivals() {
-                let id = arrival.headers["attempt-id"].to_str().unwrap().to_owned();
+                let id = arrival.request_id();
                 runs.entry(id).or_default().push((index, arrival));
             }
         }
