Route by the prompt parts that endpoints hold

Selection guessed by an endpoint's rank whether it holds the beginning of a prompt: all at the first, half at the second, none elsewhere. One gateway for each endpoint now asks it once a second what it has taken up and dropped, and reports the changes to the others; selection weighs the tokens that are missing, and those that would be displaced, against the endpoint's queue. Where an endpoint is not listened to, the guess stays. Switched on by a release whose services tell what their endpoints hold.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod targets;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,7 @@
 use crate::refusal::RefusalReason;
 use crate::release::{Release, RouteKind};
 use crate::request::{Prompt, Request};
+use crate::residency::Residency;
 use crate::retry_budget::RetryBudget;
 use crate::settings::Settings;
 use crate::store_role::{StoreAnswerTimes, StoreRole};
@@ -138,7 +140,7 @@
     /// Endpoint id.
     pub id: EndpointId,
     /// Listening address.
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     /// Start of its process, in milliseconds since the Unix epoch.
     pub process_start_ms: u64,
     /// Whether its idle connections may be reused.
@@ -170,6 +172,8 @@
     pub arrival_meter: ArrivalMeter,
     /// Memory of incomplete answers.
     pub answer_memory: AnswerMemory,
+    /// Parts of prompts that the endpoints hold.
+    pub residency: Residency,
     release: Option<Arc<Release>>,
     retry_budget: RetryBudget,
 }
@@ -191,6 +195,7 @@
             store_answer_times: StoreAnswerTimes::default(),
             arrival_meter: ArrivalMeter::default(),
             answer_memory,
+            residency: Residency::default(),
             release: None,
             retry_budget: RetryBudget::default(),
         }
@@ -446,6 +451,21 @@
         self.arrival_meter.rates(now, service).plus(self.peers.arrivals(now, service))
     }
 
+    /// Endpoints whose held parts this gateway asks for, with their addresses: those of its data
+    /// centre for which it is the listener, unless they requested a wait.
+    pub fn listened_endpoints(&self, now: Duration) -> Vec<(EndpointId, SocketAddr)> {
+        let Settings { name, data_centre, .. } = &self.settings;
+        let services = self.release.iter().flat_map(|release| &release.services);
+        let services = services.filter(|(_, service)| service.prompt_memory.is_some());
+        let endpoints = services.flat_map(|(service, _)| self.endpoints.of_service(service));
+        let endpoints = endpoints.filter(|endpoint| {
+            endpoint.entry.data_centre == *data_centre
+                && self.endpoints.wait_end(now, endpoint).is_none()
+                && self.peers.is_listener(now, name, data_centre, &endpoint.entry.id)
+        });
+        endpoints.map(|endpoint| (endpoint.entry.id.clone(), endpoint.entry.address)).collect()
+    }
+
     /// Applies the latest reports of the other gateways.
     pub fn on_peer_reports(&mut self, now: Duration) {
         self.peers.tick(now);
--- a/forwarding/src/dispatcher/targets.rs
+++ b/forwarding/src/dispatcher/targets.rs
@@ -61,6 +61,8 @@
             prompt: admitted.prompt.as_ref(),
             data_centre: &self.settings.data_centre,
             tried,
+            residency: &self.residency,
+            prompt_memory_tokens: self.prompt_memory_tokens(&admitted.service),
         };
         selection::select(&self.endpoints, now, &criteria).ok_or_else(|| {
             selection::earliest_wait_end(&self.endpoints, now, &admitted.service)
@@ -70,6 +72,11 @@
         })
     }
 
+    fn prompt_memory_tokens(&self, service: &str) -> Option<u64> {
+        let service = self.release()?.services.get(service)?;
+        service.prompt_memory.map(|memory| memory.capacity_tokens)
+    }
+
     /// Takes a retry from the budget if the request was sent before.
     fn take_retry(
         &mut self,
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod report_schedule;
 pub mod request;
 mod requested_waits;
+pub mod residency;
 pub mod retry_budget;
 pub mod scaling;
 pub mod selection;
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rhubarbrock::rendezvous;
 use rhubarbrock_schema::gossip;
 use xxhash_rust::xxh3;
 
@@ -232,6 +233,22 @@
         self.live(now).filter(|peer| peer.report.name.as_str() < name).count() as u32
     }
 
+    /// Whether the gateway `name` in `data_centre` is the one of that data centre that asks
+    /// `endpoint` what it holds: the first of the live ones in the endpoint's own order.
+    pub fn is_listener(
+        &self,
+        now: Duration,
+        name: &str,
+        data_centre: &str,
+        endpoint: &str,
+    ) -> bool {
+        let key = xxh3::xxh3_64(endpoint.as_bytes());
+        let score = |name: &str| rendezvous::score(key, xxh3::xxh3_64(name.as_bytes()));
+        let mut near = self.live(now).filter(|peer| peer.report.data_centre == data_centre);
+        let own_score = score(name);
+        near.all(|peer| score(&peer.report.name) < own_score)
+    }
+
     /// Total load of the live gateways on each endpoint.
     pub fn loads(&self, now: Duration) -> HashMap<EndpointId, Load> {
         let mut loads: HashMap<EndpointId, Load> = HashMap::new();
--- a/forwarding/src/release.rs
+++ b/forwarding/src/release.rs
@@ -95,6 +95,15 @@
     pub max_connections: u32,
     /// Scaling policy; `None` if replicas are not ordered for the service.
     pub scaling: Option<ScalingPolicy>,
+    /// Memory for prompts; `None` if its endpoints do not tell what they hold.
+    pub prompt_memory: Option<PromptMemory>,
+}
+
+/// Memory of an endpoint for the prompts that it has read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptMemory {
+    /// Tokens that it holds at most.
+    pub capacity_tokens: u64,
 }
 
 /// Bounds and prices for the replicas of a service.
--- a/forwarding/src/request.rs
+++ b/forwarding/src/request.rs
@@ -49,10 +49,14 @@
         self.parts.get(shared).map(|part| part.id)
     }
 
+    /// Parts that other requests may share, in order.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+
     /// Total tokens of the parts that other requests may share.
     pub fn shared_tokens(&self) -> u64 {
-        let shared = self.parts.len().saturating_sub(1);
-        self.parts[..shared].iter().map(|part| u64::from(part.tokens)).sum()
+        self.shared_parts().iter().map(|part| u64::from(part.tokens)).sum()
     }
 
     /// Prompt tokens that are not in a shared part.
--- a/forwarding/src/selection.rs
+++ b/forwarding/src/selection.rs
@@ -1,10 +1,10 @@
 //! Selection of the endpoint for a request.
 //!
 //! A model request goes to an endpoint that probably has its shared prompt
-//! parts cached: rendezvous hashing gives each affinity key an order of
-//! endpoints that is the same at all gateways. Load moves the request down this
-//! order, because waiting for queued prompt tokens takes as long as recomputing
-//! uncached ones. A plain request goes to the least loaded endpoint, with a
+//! parts cached: one that is known to hold them, or, where that is not known,
+//! one of the first of an order that rendezvous hashing gives each affinity key,
+//! the same at all gateways. Load moves the request to other endpoints, because
+//! waiting for queued prompt tokens takes as long as reading missing ones. A plain request goes to the least loaded endpoint, with a
 //! preference for the own data centre.
 
 use std::time::Duration;
@@ -14,6 +14,7 @@
 
 use crate::endpoints::{Endpoint, EndpointId, EndpointTable};
 use crate::request::Prompt;
+use crate::residency::Residency;
 
 /// Cost in tokens of each running request: it lengthens a decoding step by about one percent, and a
 /// prompt is read within a few steps.
@@ -23,6 +24,10 @@
 /// first one is loaded, many keys have overflowed to the second and are cached there.
 const SECOND_RANK_UNCACHED_SHARE: f64 = 0.5;
 
+/// Fraction of the tokens not known to be held that is expected to be held at the first endpoint of
+/// the order, as other gateways send requests with the same parts there.
+const FIRST_RANK_EXPECTED_SHARE: f64 = 0.5;
+
 /// Cost of another data centre, in requests, so that equally loaded endpoints nearby are preferred.
 const REMOTE_COST_REQUESTS: f64 = 0.5;
 
@@ -51,6 +56,10 @@
     pub data_centre: &'c str,
     /// Endpoints that earlier attempts were sent to; they are not selected again.
     pub tried: &'c [EndpointId],
+    /// Parts of prompts that the endpoints hold.
+    pub residency: &'c Residency,
+    /// Memory of an endpoint for prompts, in tokens; `None` if it is not known.
+    pub prompt_memory_tokens: Option<u64>,
 }
 
 /// Selects the endpoint with the lowest cost, or returns `None` if none is left to try.
@@ -95,26 +104,47 @@
         let id = xxh3::xxh3_64(endpoint.entry.id.as_bytes());
         std::cmp::Reverse(rendezvous::score(key, id))
     });
-    let shared_tokens = prompt.shared_tokens() as f64;
     let remote_cost_tokens =
         REMOTE_COST_TOKENS + prompt.max_output_tokens as f64 * REMOTE_COST_TOKENS_PER_OUTPUT_TOKEN;
     let costs = candidates.iter().enumerate().map(|(rank, endpoint)| {
-        let uncached_tokens = match rank {
-            0 => 0.0,
-            1 => shared_tokens * SECOND_RANK_UNCACHED_SHARE,
-            _ => shared_tokens,
-        };
+        let reading_tokens = reading_cost_tokens(endpoint, now, criteria, prompt, rank);
         let waiting_tokens = endpoint.waiting_tokens() as f64;
         let running_cost_tokens = f64::from(endpoint.requests()) * RUNNING_REQUEST_COST_TOKENS;
         let is_local = endpoint.entry.data_centre == criteria.data_centre;
         let remote_cost = if is_local { 0.0 } else { remote_cost_tokens };
-        (uncached_tokens + waiting_tokens + running_cost_tokens + remote_cost)
+        (reading_tokens + waiting_tokens + running_cost_tokens + remote_cost)
             * warm_up_factor(endpoint, now)
             + full_cost(endpoint)
     });
     lowest_cost(costs, &candidates)
 }
 
+/// Cost of the shared tokens of a prompt that an endpoint would have to read, and of what it would
+/// drop for them. Where it is not known what the endpoint holds, that is guessed by its rank.
+fn reading_cost_tokens(
+    endpoint: &Endpoint,
+    now: Duration,
+    criteria: &SelectionCriteria<'_>,
+    prompt: &Prompt,
+    rank: usize,
+) -> f64 {
+    let shared_tokens = prompt.shared_tokens() as f64;
+    let guessed_tokens = match rank {
+        0 => 0.0,
+        1 => shared_tokens * SECOND_RANK_UNCACHED_SHARE,
+        _ => shared_tokens,
+    };
+    let capacity_tokens = criteria.prompt_memory_tokens;
+    let estimate = criteria.residency.estimate(now, &endpoint.entry.id, prompt, capacity_tokens);
+    let Some(estimate) = estimate else { return guessed_tokens };
+    let missing_tokens = shared_tokens - estimate.held_tokens as f64;
+    if !estimate.is_complete {
+        return guessed_tokens.min(missing_tokens);
+    }
+    let expected_share = if rank == 0 { FIRST_RANK_EXPECTED_SHARE } else { 0.0 };
+    missing_tokens * (1.0 - expected_share) + estimate.displaced_tokens
+}
+
 fn select_by_load<'t>(
     candidates: Vec<&'t Endpoint>,
     now: Duration,
--- a/forwarding/tests/support/mod.rs
+++ b/forwarding/tests/support/mod.rs
@@ -98,7 +98,7 @@
 }
 
 pub(crate) fn release(version: u64) -> Release {
-    let service = Service { max_connections: 100, scaling: None };
+    let service = Service { max_connections: 100, scaling: None, prompt_memory: None };
     Release {
         version,
         routes: vec![
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -1,14 +1,15 @@
 //! Contents of the reports that gateways exchange as datagrams, and their application.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use forwarding::dispatcher::Dispatcher;
-use forwarding::endpoints::{Change, Endpoint, EndpointTable, Entry};
+use forwarding::endpoints::{Change, Endpoint, EndpointId, EndpointTable, Entry};
 use forwarding::prompt_speed::PromptSamples;
 use forwarding::prompt_suspects::PartHash;
+use forwarding::residency::Held;
 use platform::store::{self, StoreClient};
 use prost::Message;
 use rhubarbrock_schema::gossip;
@@ -47,6 +48,10 @@
 /// Maximum number of departures in a report, about twenty bytes each.
 const MAX_DEPARTURES: usize = 32;
 
+/// Intervals between reports to other data centres for which a change of held parts is reported, as
+/// datagrams may be lost.
+const HELD_REPORT_INTERVALS: u32 = 3;
+
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -145,7 +150,10 @@
         }
     }
     let (name, joined) = (report.name.clone(), report.joined.clone());
-    dispatcher.peers.on_report(now, unix_time, from, report);
+    let held_parts = report.held_parts.clone();
+    if dispatcher.peers.on_report(now, unix_time, from, report) {
+        apply_held_parts(&mut dispatcher, now, &held_parts);
+    }
     drop(dispatcher);
     for row in &joined {
         apply_joined(context, row, &name, EndpointTable::on_reported_entry);
@@ -211,6 +219,7 @@
         gossip::PromptSuspect { part, breaks: breaks.collect(), finished_age_ms, is_refused }
     });
     let prompt_suspects = prompt_suspects.collect();
+    let held_parts = held_parts(&dispatcher, now);
     let is_reader = dispatcher.store_role.is_reader();
     let store_age = dispatcher.store_answer_times.age(now);
     gossip::Report {
@@ -234,12 +243,43 @@
         store_age_ms: store_age.map_or(u32::MAX, |age| age.as_millis() as u32),
         suspects,
         prompt_suspects,
+        held_parts,
         interval_ms: 0,
         data_centre: dispatcher.settings.data_centre.clone(),
         is_brief: false,
     }
 }
 
+/// Latest changes of the parts held by the endpoints that this gateway listens to.
+fn held_parts(dispatcher: &Dispatcher, now: Duration) -> Vec<gossip::HeldParts> {
+    let window = reporter::schedule(dispatcher).far * HELD_REPORT_INTERVALS;
+    let mut rows: BTreeMap<EndpointId, gossip::HeldParts> = BTreeMap::new();
+    for (endpoint, _) in dispatcher.listened_endpoints(now) {
+        let Some(epoch) = dispatcher.residency.epoch(&endpoint) else { continue };
+        let (parts, tokens) = (Vec::new(), Vec::new());
+        let row = gossip::HeldParts { endpoint: endpoint.clone(), epoch, parts, tokens };
+        rows.insert(endpoint, row);
+    }
+    for change in dispatcher.residency.recent_changes(now, window) {
+        if let Some(row) = rows.get_mut(&change.endpoint)
+            && row.epoch == change.epoch
+        {
+            row.parts.push(change.held.part);
+            row.tokens.push(change.held.tokens);
+        }
+    }
+    rows.into_values().collect()
+}
+
+fn apply_held_parts(dispatcher: &mut Dispatcher, now: Duration, rows: &[gossip::HeldParts]) {
+    for row in rows {
+        let changes = row.parts.iter().zip(&row.tokens);
+        let changes = changes.map(|(&part, &tokens)| Held { part, tokens });
+        let changes: Vec<Held> = changes.collect();
+        dispatcher.residency.on_reported(now, &row.endpoint, row.epoch, &changes);
+    }
+}
+
 /// Usage rows of this gateway, and of gateways that are no longer live.
 pub(crate) fn usage(dispatcher: &Dispatcher, now: Duration) -> Vec<gossip::Usage> {
     let own = dispatcher.usage.own();
