Take endpoints back whose entries were missing

Cause: a missing entry was recorded and reported as a departure, which refuses all entries of the process for 120 s. An entry is removed after three check-in intervals of silence as well, as in an outage of the store that a gateway measures too short, so live endpoints were forgotten.

A missing endpoint is not used until an entry with a higher sequence number, by the store, a report or a handover; entries from before the removal do not bring it back. A report of a missing entry does not affect an endpoint with a newer one. What was seen to leave stays refused.

--- a/forwarding/src/departures.rs
+++ b/forwarding/src/departures.rs
@@ -1,4 +1,8 @@
-//! Endpoint processes that left. None of their entries is accepted again.
+//! Endpoint processes that left, and those whose entries are missing.
+//!
+//! No entry of a process that was seen to leave is accepted again. A missing entry
+//! only means that its endpoint was not heard of, as after an outage of the store;
+//! such an endpoint is not used until a newer entry shows that it lives.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -9,9 +13,22 @@
 /// replayed.
 pub(crate) const RETENTION: Duration = Duration::from_secs(120);
 
+/// Why a process is not used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Cause {
+    /// It was seen to leave.
+    Left,
+    /// Its entry is missing. Entries up to this sequence number are older than that.
+    Missing {
+        /// Highest sequence number known.
+        sequence: u64,
+    },
+}
+
 #[derive(Debug, Clone, Copy)]
 struct Departure {
     process_start_ms: ProcessStartMs,
+    cause: Cause,
     at: Duration,
     expires_at: Duration,
     /// Whether the process itself said in an answer that it leaves. Such a departure does not expire
@@ -28,9 +45,16 @@
 
 impl Departures {
     /// Records the departure of a process.
-    pub(crate) fn record(&mut self, now: Duration, id: &str, process_start_ms: ProcessStartMs) {
+    pub(crate) fn record(
+        &mut self,
+        now: Duration,
+        id: &str,
+        process_start_ms: ProcessStartMs,
+        cause: Cause,
+    ) {
         let departure = Departure {
             process_start_ms,
+            cause,
             at: now,
             expires_at: now + RETENTION,
             is_stated: false,
@@ -77,9 +101,46 @@
         }
     }
 
-    /// Whether the process, or a later one under the same id, has left.
+    /// Whether the process was seen to leave, or a later one under the same id departed.
     pub(crate) fn has_left(&self, id: &str, process_start_ms: ProcessStartMs) -> bool {
-        self.departures.get(id).is_some_and(|known| process_start_ms <= known.process_start_ms)
+        self.departures.get(id).is_some_and(|known| {
+            process_start_ms < known.process_start_ms
+                || process_start_ms == known.process_start_ms && known.cause == Cause::Left
+        })
+    }
+
+    /// Whether an entry of the process with this sequence number is from before its departure.
+    pub(crate) fn is_outdated(
+        &self,
+        id: &str,
+        process_start_ms: ProcessStartMs,
+        sequence: u64,
+    ) -> bool {
+        self.departures.get(id).is_some_and(|known| match known.cause {
+            _ if process_start_ms != known.process_start_ms => {
+                process_start_ms < known.process_start_ms
+            }
+            Cause::Left => true,
+            Cause::Missing { sequence: last } => sequence <= last,
+        })
+    }
+
+    /// Raises the sequence number up to which entries of a missing process are outdated. Returns
+    /// whether its departure was known.
+    pub(crate) fn extend(
+        &mut self,
+        id: &str,
+        process_start_ms: ProcessStartMs,
+        sequence: u64,
+    ) -> bool {
+        let known = self.departures.get_mut(id);
+        let Some(known) = known.filter(|known| known.process_start_ms == process_start_ms) else {
+            return false;
+        };
+        if let Cause::Missing { sequence: last } = &mut known.cause {
+            *last = sequence.max(*last);
+        }
+        true
     }
 
     /// Forgets the departure of an endpoint, because a new process uses its id.
@@ -104,8 +165,8 @@
         &self,
         now: Duration,
         window: Duration,
-    ) -> Vec<(EndpointId, ProcessStartMs)> {
-        let recent = self.departures.iter().filter(|(_, departure)| now < departure.at + window);
-        recent.map(|(id, departure)| (id.clone(), departure.process_start_ms)).collect()
+    ) -> impl Iterator<Item = (&EndpointId, ProcessStartMs, Cause)> {
+        let recent = self.departures.iter().filter(move |(_, each)| now < each.at + window);
+        recent.map(|(id, departure)| (id, departure.process_start_ms, departure.cause))
     }
 }
--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -3,7 +3,8 @@
 //!
 //! An entry is accepted only if it is newer than the known one: from a later
 //! process start, or with a higher sequence number of the same start. Once a
-//! process was seen to leave, none of its entries is accepted again.
+//! process was seen to leave, none of its entries is accepted again. A process
+//! whose entry is missing is used again with its next entry.
 
 mod attempts;
 
@@ -13,7 +14,7 @@
 
 use rhubarbrock::health::{Health, Status};
 
-use crate::departures::{self, Departures};
+use crate::departures::{self, Cause, Departures};
 use crate::release::ServiceName;
 use crate::requested_waits::RequestedWaits;
 use crate::suspects;
@@ -160,7 +161,8 @@
         }
         self.latest.insert(entry.id.clone(), (entry.process_start_ms, entry.sequence));
         if entry.is_leaving {
-            return self.record_departure(now, &entry.id, entry.process_start_ms, Change::Leaving);
+            let start = entry.process_start_ms;
+            return self.record_departure(now, &entry.id, start, Cause::Left, Change::Leaving);
         }
         if let Some(known) = self.endpoints.get_mut(&entry.id) {
             let is_same_process = known.entry.process_start_ms == entry.process_start_ms
@@ -179,12 +181,13 @@
     }
 
     fn is_newer(&self, entry: &Entry) -> bool {
-        let is_departed = self.departures.has_left(&entry.id, entry.process_start_ms);
+        let is_outdated =
+            self.departures.is_outdated(&entry.id, entry.process_start_ms, entry.sequence);
         let is_old = self
             .latest
             .get(&entry.id)
             .is_some_and(|&latest| (entry.process_start_ms, entry.sequence) <= latest);
-        !is_departed && !is_old
+        !is_outdated && !is_old
     }
 
     /// Applies the removal of an entry.
@@ -200,7 +203,19 @@
             return Change::Lapsed;
         }
         let process_start_ms = endpoint.entry.process_start_ms;
-        self.record_departure(now, id, process_start_ms, Change::Gone)
+        self.record_missing(now, id, process_start_ms)
+    }
+
+    /// Records that the entry of a known endpoint is missing.
+    fn record_missing(
+        &mut self,
+        now: Duration,
+        id: &str,
+        process_start_ms: ProcessStartMs,
+    ) -> Change {
+        let sequence = self.latest.get(id).map_or(0, |&(_, sequence)| sequence);
+        let cause = Cause::Missing { sequence };
+        self.record_departure(now, id, process_start_ms, cause, Change::Gone)
     }
 
     /// Applies an entry that cannot be read, as another writer replaced it. The endpoint is not used
@@ -267,7 +282,34 @@
         if self.departures.has_left(id, process_start_ms) {
             return Change::None;
         }
-        self.record_departure(now, id, process_start_ms, Change::Leaving)
+        self.record_departure(now, id, process_start_ms, Cause::Left, Change::Leaving)
+    }
+
+    /// Applies another gateway's report that the entry of an endpoint process is missing; the last
+    /// one that it knew has this sequence number. An endpoint with a newer entry stays in use.
+    pub fn on_peer_missing(
+        &mut self,
+        now: Duration,
+        id: &str,
+        process_start_ms: ProcessStartMs,
+        sequence: u64,
+    ) -> Change {
+        let is_newer_known =
+            self.latest.get(id).is_some_and(|&latest| latest > (process_start_ms, sequence));
+        if is_newer_known
+            || self.departures.has_left(id, process_start_ms)
+            || self.departures.extend(id, process_start_ms, sequence)
+        {
+            return Change::None;
+        }
+        let renewal_end = self.renewal_end(now);
+        if let Some((endpoint, until)) = self.endpoints.get_mut(id).zip(renewal_end) {
+            let change = if endpoint.lapses_at.is_some() { Change::None } else { Change::Lapsed };
+            endpoint.lapses_at.get_or_insert(until);
+            return change;
+        }
+        let cause = Cause::Missing { sequence };
+        self.record_departure(now, id, process_start_ms, cause, Change::Gone)
     }
 
     /// Applies an answer in which an endpoint process says that it leaves. Its entries are refused
@@ -288,9 +330,10 @@
         now: Duration,
         id: &str,
         process_start_ms: ProcessStartMs,
+        cause: Cause,
         change: Change,
     ) -> Change {
-        self.departures.record(now, id, process_start_ms);
+        self.departures.record(now, id, process_start_ms, cause);
         let is_this_process = self
             .endpoints
             .get(id)
@@ -349,7 +392,7 @@
             .map(|(id, endpoint)| (id.clone(), endpoint.entry.process_start_ms))
             .collect();
         for (id, process_start_ms) in &lapsed {
-            self.record_departure(now, id, *process_start_ms, Change::Gone);
+            self.record_missing(now, id, *process_start_ms);
         }
         self.departures.remove_expired(now);
         self.waits.remove_expired(now);
@@ -374,13 +417,30 @@
         })
     }
 
-    /// Departures within the last `window`, for reports.
+    /// Processes seen to leave within the last `window`, for reports.
     pub fn recent_departures(
         &self,
         now: Duration,
         window: Duration,
     ) -> Vec<(EndpointId, ProcessStartMs)> {
-        self.departures.recent(now, window)
+        let recent = self.departures.recent(now, window);
+        let left = recent.filter(|&(_, _, cause)| cause == Cause::Left);
+        left.map(|(id, process_start_ms, _)| (id.clone(), process_start_ms)).collect()
+    }
+
+    /// Processes whose entries were found missing within the last `window`, each with the sequence
+    /// number of its last known entry, for reports.
+    pub fn recently_missing(
+        &self,
+        now: Duration,
+        window: Duration,
+    ) -> Vec<(EndpointId, ProcessStartMs, u64)> {
+        let recent = self.departures.recent(now, window);
+        let missing = recent.filter_map(|(id, process_start_ms, cause)| match cause {
+            Cause::Left => None,
+            Cause::Missing { sequence } => Some((id.clone(), process_start_ms, sequence)),
+        });
+        missing.collect()
     }
 
     /// Endpoint by id.
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -139,9 +139,13 @@
     let mut departed = Vec::new();
     for departure in &report.departures {
         let endpoints = &mut dispatcher.endpoints;
-        let change = endpoints.on_peer_departure(now, &departure.endpoint, departure.born_ms);
+        let (id, born_ms) = (&departure.endpoint, departure.born_ms);
+        let change = match departure.missing_after {
+            Some(sequence) => endpoints.on_peer_missing(now, id, born_ms, sequence),
+            None => endpoints.on_peer_departure(now, id, born_ms),
+        };
         if change != Change::None {
-            departed.push(departure.endpoint.clone());
+            departed.push((id.clone(), change));
         }
     }
     let (name, joined) = (report.name.clone(), report.joined.clone());
@@ -150,9 +154,9 @@
     for row in &joined {
         apply_joined(context, row, &name, EndpointTable::on_reported_entry);
     }
-    for id in departed {
+    for (id, change) in departed {
         info!(context.logger, "endpoint leaving according to another gateway";
-            "endpoint" => id, "source" => &name);
+            "endpoint" => id, "change" => ?change, "source" => &name);
     }
 }
 
@@ -191,7 +195,7 @@
             units_per_s: units_per_s as u64,
             spent_units: spent as u64,
         });
-    let departures = dispatcher.endpoints.recent_departures(now, DEPARTURE_REPORT_TIME);
+    let departures = departures(&dispatcher, now);
     let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u32;
     let suspects = dispatcher.suspects.to_report().into_iter().map(|(fingerprint, seen)| {
         let breaks = seen.breaks.iter();
@@ -223,10 +227,7 @@
         loads: loads.collect(),
         demands: demands.collect(),
         usage: Vec::new(),
-        departures: rotate(departures, MAX_DEPARTURES, sequence)
-            .into_iter()
-            .map(|(endpoint, born_ms)| gossip::Departure { endpoint, born_ms })
-            .collect(),
+        departures: rotate(departures, MAX_DEPARTURES, sequence),
         arrivals: arrivals(&dispatcher, now),
         reads_entries: is_reader,
         joined: if is_reader { joined(&dispatcher, now, sequence) } else { Vec::new() },
@@ -272,6 +273,24 @@
     rows
 }
 
+/// Endpoints that recently left, and those whose entries were recently found missing.
+fn departures(dispatcher: &Dispatcher, now: Duration) -> Vec<gossip::Departure> {
+    let endpoints = &dispatcher.endpoints;
+    let left = endpoints.recent_departures(now, DEPARTURE_REPORT_TIME).into_iter();
+    let left = left.map(|(endpoint, born_ms)| gossip::Departure {
+        endpoint,
+        born_ms,
+        missing_after: None,
+    });
+    let missing = endpoints.recently_missing(now, DEPARTURE_REPORT_TIME).into_iter();
+    let missing = missing.map(|(endpoint, born_ms, sequence)| gossip::Departure {
+        endpoint,
+        born_ms,
+        missing_after: Some(sequence),
+    });
+    left.chain(missing).collect()
+}
+
 /// Endpoints that joined recently.
 fn joined(dispatcher: &Dispatcher, now: Duration, sequence: u64) -> Vec<gossip::Joined> {
     let endpoints = dispatcher.endpoints.recently_joined(now, JOINED_REPORT_TIME);
