Give listeners the timeout of their calls

lists_again_after_a_gap_a_restart_and_a_refusal failed in one run beside five builds (load 36 on 7 cores). Traced: in 120 runs, 60 at a time at that load, 8 runs failed in calls beyond the timeout of 500 ms; alone it passes.

--- a/gateway/src/residency_watch.rs
+++ b/gateway/src/residency_watch.rs
@@ -16,6 +16,9 @@
 /// Interval of the calls to one endpoint.
 const INTERVAL: Duration = Duration::from_secs(1);
 
+/// Timeout of a call, without the time for which the endpoint may keep it waiting.
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Time for which changes are kept for reports; longer than any of them is reported.
 const CHANGE_RETENTION: Duration = Duration::from_secs(15);
 
@@ -27,7 +30,8 @@
         let endpoints = tick(&context);
         listeners.retain(|id, (address, _)| endpoints.contains(&(id.clone(), *address)));
         for (id, address) in endpoints {
-            listeners.entry(id.clone()).or_insert_with(|| (address, Listener::new(id, address)));
+            let listener = || Listener::new(id.clone(), address, CALL_TIMEOUT);
+            listeners.entry(id.clone()).or_insert_with(|| (address, listener()));
         }
         metrics::gauge!("gateway_listened_endpoints").set(listeners.len() as f64);
         let calls = listeners.iter_mut().map(|(id, (_, listener))| listen(&context, id, listener));
