Renew suspicions while refused requests come again

Cause: breaks of a request count for 60 s, those of a refused part of prompts for 600 s, and a refusal left no trace. A request that crashes endpoints was admitted again each minute though it never ceased to come. A gateway also forgot what only others had seen once those were gone.

Change: a break counts until the same time after the last refusal at any gateway. Refusals of others are not passed on, as they would become later with each report. A request or part that finished anywhere is cleared as before.

Existing test changed: brief_report_keeps_loads_and_demands names the new field and also checks that a brief report keeps the time of a refusal.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -258,7 +258,10 @@
         let prompt = request.prompt.as_ref();
         let shared_parts =
             prompt.map(|prompt| SharedParts::new(service, prompt)).unwrap_or_default();
-        self.check_suspects(now, fingerprint, &shared_parts)?;
+        if let Err(reason) = self.check_suspects(now, fingerprint, &shared_parts) {
+            self.on_suspect_refused(now, fingerprint, &shared_parts);
+            return Err(reason);
+        }
         let quota = organisation.and_then(|organisation| organisation.quota);
         let quota_units =
             quota.map_or(0.0, |quota| quota::request_units(&quota, request.prompt.as_ref()));
@@ -315,6 +318,14 @@
         Ok(())
     }
 
+    /// Renews the suspicion against a request, and against parts of its prompt.
+    fn on_suspect_refused(&mut self, now: Duration, request: Fingerprint, parts: &SharedParts) {
+        if self.suspects.must_refuse(now, request) {
+            self.suspects.on_refused(now, request);
+        }
+        self.prompt_suspects.on_refused(now, parts);
+    }
+
     /// Records the first byte of an answer or the first event of a stream. `unix_time` is the time
     /// of day.
     pub fn on_first_event(
@@ -458,6 +469,8 @@
                 self.accounts.on_reports(now, organisation, demand);
             }
         }
+        self.suspects.set_peer_refusals(self.peers.request_refusals());
+        self.prompt_suspects.set_peer_refusals(self.peers.part_refusals());
         self.suspects.set_peer_histories(now, self.peers.suspects());
         self.prompt_suspects.set_peer_histories(now, self.peers.prompt_suspects());
     }
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod prompt_suspects;
 pub mod quota;
 pub mod refusal;
+mod refusals;
 pub mod release;
 pub mod report_schedule;
 pub mod request;
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -298,6 +298,38 @@
         suspects
     }
 
+    /// Last refusals of suspected requests at the other gateways.
+    pub fn request_refusals(&self) -> HashMap<Fingerprint, Duration> {
+        self.last_refusals(|report| {
+            let rows = report.suspects.iter();
+            rows.map(|each| (each.fingerprint, each.refused_age_ms)).collect()
+        })
+    }
+
+    /// Last refusals of suspected parts of prompts at the other gateways.
+    pub fn part_refusals(&self) -> HashMap<PartHash, Duration> {
+        self.last_refusals(|report| {
+            let rows = report.prompt_suspects.iter();
+            rows.map(|each| (each.part, each.refused_age_ms)).collect()
+        })
+    }
+
+    fn last_refusals(
+        &self,
+        ages_ms: impl Fn(&gossip::Report) -> Vec<(u64, Option<u32>)>,
+    ) -> HashMap<u64, Duration> {
+        let mut refusals: HashMap<u64, Duration> = HashMap::new();
+        for peer in self.peers.values() {
+            for (hash, age_ms) in ages_ms(&peer.report) {
+                let Some(age_ms) = age_ms else { continue };
+                let at = peer.heard_at.saturating_sub(Duration::from_millis(age_ms.into()));
+                let last = refusals.entry(hash).or_insert(at);
+                *last = at.max(*last);
+            }
+        }
+        refusals
+    }
+
     /// Observations of the other gateways on parts of prompts that may crash endpoints.
     pub fn prompt_suspects(&self) -> HashMap<PartHash, Vec<PartHistory>> {
         let mut suspects: HashMap<PartHash, Vec<PartHistory>> = HashMap::new();
@@ -354,13 +386,15 @@
     let elapsed_ms = now.saturating_sub(known.heard_at).as_millis() as u32;
     for suspect in &mut report.suspects {
         let breaks = suspect.breaks.iter_mut().map(|each| &mut each.age_ms);
-        for age_ms in breaks.chain(suspect.finished_age_ms.as_mut()) {
+        let ages_ms = breaks.chain(suspect.finished_age_ms.as_mut());
+        for age_ms in ages_ms.chain(suspect.refused_age_ms.as_mut()) {
             *age_ms = age_ms.saturating_add(elapsed_ms);
         }
     }
     for suspect in &mut report.prompt_suspects {
         let breaks = suspect.breaks.iter_mut().map(|each| &mut each.age_ms);
-        for age_ms in breaks.chain(suspect.finished_age_ms.as_mut()) {
+        let ages_ms = breaks.chain(suspect.finished_age_ms.as_mut());
+        for age_ms in ages_ms.chain(suspect.refused_age_ms.as_mut()) {
             *age_ms = age_ms.saturating_add(elapsed_ms);
         }
     }
--- a/forwarding/src/prompt_suspects.rs
+++ b/forwarding/src/prompt_suspects.rs
@@ -9,7 +9,7 @@
 //!
 //! Gateways share their observations. A part that one of them refuses is refused
 //! by all at which it has not finished shortly before, also after the gateways
-//! that saw its crashes are gone.
+//! that saw its crashes are gone. Requests that are refused renew the suspicion.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
@@ -17,6 +17,7 @@
 
 use xxhash_rust::xxh3;
 
+use crate::refusals::Refusals;
 use crate::request::{Prompt, PromptPart};
 use crate::suspects::{EndpointHash, Fingerprint};
 
@@ -37,8 +38,8 @@
 /// Time for which a break counts.
 const RETENTION: Duration = Duration::from_secs(60);
 
-/// Time for which a break counts if the part is refused. Each time that it is forgotten, further
-/// endpoints crash.
+/// Time for which a break counts if the part is refused, after the break or the last refusal. Each
+/// time that it is forgotten, further endpoints crash.
 const REFUSED_RETENTION: Duration = Duration::from_secs(600);
 
 /// Time for which a completion shows that a part is in use and sound.
@@ -165,6 +166,7 @@
     outcomes: HashMap<ServiceHash, Outcomes>,
     /// Periods of the parts with breaks at this gateway.
     periods: HashMap<PartHash, Period>,
+    refusals: Refusals,
 }
 
 impl PromptSuspects {
@@ -187,7 +189,10 @@
             let start = self.periods.get(&part).map_or(end, |period| period.start);
             self.periods.insert(part, Period { service, start, end, last_break_at: at });
         }
-        evict_oldest(&mut self.own, PartHistory::last);
+        let refusals = &self.refusals;
+        evict_oldest(&mut self.own, |part, history| {
+            refusals.last(part).unwrap_or_default().max(history.last())
+        });
     }
 
     /// Records that a request with these parts finished.
@@ -202,7 +207,27 @@
                 self.periods.remove(&part);
             }
         }
-        evict_oldest(&mut self.finished, |&at| at);
+        evict_oldest(&mut self.finished, |_, &at| at);
+    }
+
+    /// Records that a request with these parts was refused.
+    pub fn on_refused(&mut self, now: Duration, shared: &SharedParts) {
+        let parts = shared.parts.iter().copied();
+        let refused: Vec<PartHash> =
+            parts.filter(|&part| self.is_cause(now, part, &shared.parts)).collect();
+        for part in refused {
+            self.refusals.on_refused(now, part);
+        }
+    }
+
+    /// Replaces the last refusals at the other gateways.
+    pub fn set_peer_refusals(&mut self, peers: HashMap<PartHash, Duration>) {
+        self.refusals.set_peers(peers);
+    }
+
+    /// Last refusal of a part at this gateway.
+    pub fn refused_at(&self, part: PartHash) -> Option<Duration> {
+        self.refusals.own(part)
     }
 
     /// Replaces the observations of the other gateways, takes over those that suffice to refuse a
@@ -227,8 +252,11 @@
             }
             own.is_refused = true;
         }
-        self.own.retain(|_, history| {
-            now < history.last() + if history.is_refused { REFUSED_RETENTION } else { RETENTION }
+        self.refusals.remove_expired(now, REFUSED_RETENTION);
+        let refusals = &self.refusals;
+        self.own.retain(|&part, history| {
+            let last = refusals.last(part).unwrap_or_default().max(history.last());
+            now < last + if history.is_refused { REFUSED_RETENTION } else { RETENTION }
         });
         let (own, peers) = (&self.own, &self.peers);
         let is_suspected = |part: &PartHash| own.contains_key(part) || peers.contains_key(part);
@@ -278,10 +306,12 @@
     /// A part that broke only beside another suspect is admitted without that one: the outcome tells
     /// which of them is to blame.
     pub fn must_refuse(&self, now: Duration, shared: &SharedParts) -> bool {
-        let parts = &shared.parts;
-        parts.iter().any(|&part| {
-            self.must_refuse_part(now, part) && !self.has_other_cause(now, part, parts)
-        })
+        shared.parts.iter().any(|&part| self.is_cause(now, part, &shared.parts))
+    }
+
+    /// Whether a part is refused in a request with these parts.
+    fn is_cause(&self, now: Duration, part: PartHash, request_parts: &[PartHash]) -> bool {
+        self.must_refuse_part(now, part) && !self.has_other_cause(now, part, request_parts)
     }
 
     /// Whether a request with these parts may be sent again after it broke: not if one of them broke
@@ -322,9 +352,11 @@
     /// Breaks after the last completion.
     fn counted_breaks(&self, now: Duration, part: PartHash) -> Vec<PartBreak> {
         let finished_at = self.finished_at(part);
+        let refused_at = self.refusals.last(part).unwrap_or_default();
         let breaks = self.histories(part).flat_map(|history| &history.breaks).copied();
         let counted = breaks.filter(|each| {
-            now < each.at + REFUSED_RETENTION && finished_at.is_none_or(|at| each.at > at)
+            now < each.at.max(refused_at) + REFUSED_RETENTION
+                && finished_at.is_none_or(|at| each.at > at)
         });
         counted.collect()
     }
@@ -398,9 +430,9 @@
 }
 
 /// Removes the oldest entries of a map that is too large.
-fn evict_oldest<T>(map: &mut HashMap<PartHash, T>, last: impl Fn(&T) -> Duration) {
+fn evict_oldest<T>(map: &mut HashMap<PartHash, T>, last: impl Fn(PartHash, &T) -> Duration) {
     while map.len() > MAX_PARTS {
-        let oldest = map.iter().min_by_key(|&(&part, value)| (last(value), part));
+        let oldest = map.iter().min_by_key(|&(&part, value)| (last(part, value), part));
         let Some(part) = oldest.map(|(&part, _)| part) else { return };
         map.remove(&part);
     }
--- a/forwarding/src/suspects.rs
+++ b/forwarding/src/suspects.rs
@@ -6,13 +6,20 @@
 //! sufficient: the endpoint may be faulty, and a crash also breaks co-batched
 //! requests. A request that finished at any gateway is cleared of all earlier
 //! breaks.
+//!
+//! Repetitions that are refused renew the suspicion, so that a request which is
+//! sent all the time crashes no further endpoints. It is admitted again some
+//! time after the last one.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, HashMap};
 use std::hash::Hasher;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::{self, Xxh3};
 
+use crate::refusals::Refusals;
+
 /// Hash that is equal for repetitions of a request.
 pub type Fingerprint = u64;
 
@@ -23,7 +30,7 @@
 /// the last one that the deployment allows without penalty.
 const BROKEN_ENDPOINTS_TO_REFUSE: usize = 3;
 
-/// Time for which a break or a completion counts.
+/// Time for which a break or a completion counts, and a break after the last refusal.
 const RETENTION: Duration = Duration::from_secs(60);
 
 /// Maximum number of requests that are remembered.
@@ -68,6 +75,7 @@
 pub struct Suspects {
     own: HashMap<Fingerprint, RequestHistory>,
     peers: HashMap<Fingerprint, Vec<RequestHistory>>,
+    refusals: Refusals,
 }
 
 impl Suspects {
@@ -93,6 +101,31 @@
         }
     }
 
+    /// Records that a repetition of a request was refused. This gateway keeps the breaks at the
+    /// others, which may restart.
+    pub fn on_refused(&mut self, now: Duration, fingerprint: Fingerprint) {
+        let breaks = self.counted_breaks(now, fingerprint);
+        self.refusals.on_refused(now, fingerprint);
+        let own = self.own.entry(fingerprint).or_default();
+        for (endpoint, at) in breaks {
+            let is_known = own.breaks.iter().any(|&(known, _)| known == endpoint);
+            if !is_known && own.breaks.len() < BROKEN_ENDPOINTS_TO_REFUSE {
+                own.breaks.push((endpoint, at));
+            }
+        }
+        self.evict_oldest();
+    }
+
+    /// Replaces the last refusals at the other gateways.
+    pub fn set_peer_refusals(&mut self, peers: HashMap<Fingerprint, Duration>) {
+        self.refusals.set_peers(peers);
+    }
+
+    /// Last refusal of a request at this gateway.
+    pub fn refused_at(&self, fingerprint: Fingerprint) -> Option<Duration> {
+        self.refusals.own(fingerprint)
+    }
+
     /// Replaces the observations of the other gateways and drops expired own ones.
     pub fn set_peer_histories(
         &mut self,
@@ -100,20 +133,36 @@
         peers: HashMap<Fingerprint, Vec<RequestHistory>>,
     ) {
         self.peers = peers;
-        self.own.retain(|_, history| now < history.last() + RETENTION);
+        self.refusals.remove_expired(now, RETENTION);
+        let refusals = &self.refusals;
+        self.own.retain(|&fingerprint, history| {
+            now < refusals.last(fingerprint).unwrap_or_default().max(history.last()) + RETENTION
+        });
     }
 
     /// Whether the request is to be refused.
     pub fn must_refuse(&self, now: Duration, fingerprint: Fingerprint) -> bool {
+        let counted = self.counted_breaks(now, fingerprint).into_iter();
+        let endpoints: BTreeSet<EndpointHash> = counted.map(|(endpoint, _)| endpoint).collect();
+        endpoints.len() >= BROKEN_ENDPOINTS_TO_REFUSE
+    }
+
+    /// Breaks after the last completion that have not expired.
+    fn counted_breaks(
+        &self,
+        now: Duration,
+        fingerprint: Fingerprint,
+    ) -> Vec<(EndpointHash, Duration)> {
         let peers = self.peers.get(&fingerprint).into_iter().flatten();
         let all: Vec<&RequestHistory> = peers.chain(self.own.get(&fingerprint)).collect();
         let finished_at = all.iter().filter_map(|history| history.finished_at).max();
-        let breaks = all.iter().flat_map(|history| &history.breaks);
-        let counted = breaks.filter(|&&(_, at)| {
-            now < at + RETENTION && finished_at.is_none_or(|finished_at| at > finished_at)
+        let refused_at = self.refusals.last(fingerprint).unwrap_or_default();
+        let breaks = all.iter().flat_map(|history| &history.breaks).copied();
+        let counted = breaks.filter(|&(_, at)| {
+            now < at.max(refused_at) + RETENTION
+                && finished_at.is_none_or(|finished_at| at > finished_at)
         });
-        let endpoints: BTreeSet<EndpointHash> = counted.map(|&(endpoint, _)| endpoint).collect();
-        endpoints.len() >= BROKEN_ENDPOINTS_TO_REFUSE
+        counted.collect()
     }
 
     /// Own observations for a report to the other gateways, latest first.
@@ -121,15 +170,21 @@
         let mut rows: Vec<(Fingerprint, &RequestHistory)> =
             self.own.iter().map(|(&fingerprint, history)| (fingerprint, history)).collect();
         rows.sort_by_key(|&(fingerprint, history)| {
-            (std::cmp::Reverse(history.last()), fingerprint)
+            (Reverse(self.last(fingerprint, history)), fingerprint)
         });
         rows.truncate(MAX_REPORTED_SUSPECTS);
         rows
     }
 
+    /// Last observation of a request, or its last refusal.
+    fn last(&self, fingerprint: Fingerprint, history: &RequestHistory) -> Duration {
+        self.refusals.last(fingerprint).unwrap_or_default().max(history.last())
+    }
+
     fn evict_oldest(&mut self) {
         if self.own.len() > MAX_SUSPECTS {
-            let oldest = self.own.iter().min_by_key(|(print, history)| (history.last(), **print));
+            let rows = self.own.iter();
+            let oldest = rows.min_by_key(|&(&print, history)| (self.last(print, history), print));
             if let Some(oldest) = oldest.map(|(&fingerprint, _)| fingerprint) {
                 self.own.remove(&oldest);
             }
--- a/forwarding/tests/fleet_size.rs
+++ b/forwarding/tests/fleet_size.rs
@@ -131,6 +131,7 @@
             fingerprint: 9,
             breaks: vec![gossip::Break { endpoint: 4, age_ms: 200 }],
             finished_age_ms: None,
+            refused_age_ms: Some(100),
         }],
         ..gossip::Report::default()
     };
@@ -148,6 +149,7 @@
     assert_eq!(peers.loads(ms(1_300))["e"].requests, 3);
     assert_eq!(peers.suspects()[&9][0].breaks, [(4, ms(800))]);
     let spent = gossip::Demand { spent_units: 130, ..full.demands[0].clone() };
+    assert_eq!(peers.request_refusals()[&9], ms(900), "a brief report must not make it later");
     let third = gossip::Report { sequence: 3, demands: vec![spent], ..full };
     peers.on_report(ms(1_600), ms(1_600), address, third);
     let demand = peers.demands(ms(1_600))["acme"];
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -201,7 +201,8 @@
         let breaks = seen.breaks.iter();
         let breaks = breaks.map(|&(endpoint, at)| gossip::Break { endpoint, age_ms: age_ms(at) });
         let finished_age_ms = seen.finished_at.map(age_ms);
-        gossip::Suspect { fingerprint, breaks: breaks.collect(), finished_age_ms }
+        let refused_age_ms = dispatcher.suspects.refused_at(fingerprint).map(age_ms);
+        gossip::Suspect { fingerprint, breaks: breaks.collect(), finished_age_ms, refused_age_ms }
     });
     let suspects = suspects.collect();
     let prompt_suspects = dispatcher.prompt_suspects.to_report().into_iter().map(|(part, seen)| {
@@ -212,7 +213,14 @@
         });
         let finished_age_ms = seen.finished_at.map(age_ms);
         let is_refused = seen.is_refused;
-        gossip::PromptSuspect { part, breaks: breaks.collect(), finished_age_ms, is_refused }
+        let refused_age_ms = dispatcher.prompt_suspects.refused_at(part).map(age_ms);
+        gossip::PromptSuspect {
+            part,
+            breaks: breaks.collect(),
+            finished_age_ms,
+            is_refused,
+            refused_age_ms,
+        }
     });
     let prompt_suspects = prompt_suspects.collect();
     let is_reader = dispatcher.store_role.is_reader();
