Take a lease that never existed at once

Cause: a log of the lease without a record counted as restored from a copy in every era but 0, and stores state 1 before their first restoration.

The lease is taken at once if its log is empty from offset 0 on and all known gateways are heard and know no earlier era. The holder then does not report windows that were complete before it first reached the store, so none is reported with two counts. In all other cases it waits as before. The simulation of a restored log (ONE) also runs with a known first era.

--- a/forwarding/src/lease.rs
+++ b/forwarding/src/lease.rs
@@ -16,6 +16,10 @@
 //! The others wait for the lease time even if the restored record is their own
 //! or there is none. The next holder drops the windows before the restoration,
 //! as the lost records may have had other counts.
+//!
+//! Nothing was lost if the log is empty in the first era that any gateway knows.
+//! The lease is then taken at once, without the windows that were complete before
+//! the gateway reached the log.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -95,6 +99,15 @@
     pub record: Option<LeaseRecord>,
 }
 
+/// First era of the log that any gateway knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FirstEra {
+    /// Era.
+    pub era: StoreEra,
+    /// First window whose counts were not complete yet when this gateway reached the log in it.
+    pub open_window: WindowIndex,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct PartitionState {
     era: StoreEra,
@@ -115,6 +128,11 @@
         }
     }
 
+    /// Whether nothing was ever written, and nothing lost.
+    fn is_new(&self, first: FirstEra) -> bool {
+        self.record.is_none() && self.end == 0 && self.era == first.era
+    }
+
     /// Epoch of a lease that is taken at the end of the partition.
     fn next_epoch(&self) -> u64 {
         (self.era << EPOCH_OFFSET_BITS) + self.end + 1
@@ -133,6 +151,7 @@
     renewed_at: Duration,
     pending_append: Option<LeaseRecord>,
     no_holder_since: Option<Duration>,
+    first_era: Option<FirstEra>,
 }
 
 impl Lease {
@@ -149,9 +168,15 @@
             renewed_at: Duration::ZERO,
             pending_append: None,
             no_holder_since: None,
+            first_era: None,
         }
     }
 
+    /// Sets the first era of the log; `None` if the gateways do not agree on it.
+    pub fn set_first_era(&mut self, first_era: Option<FirstEra>) {
+        self.first_era = first_era;
+    }
+
     /// Whether this gateway holds the lease for at least another [`CALL_TIMEOUT`].
     pub fn may_act(&self, now: Duration) -> bool {
         self.held_until.is_some_and(|until| now + CALL_TIMEOUT < until)
@@ -208,7 +233,8 @@
             Some(record) => record.holder == self.name,
         };
         let is_expired = now >= partition.known_since + self.duration + CLOCK_MARGIN;
-        if !(is_current && is_free || is_expired) {
+        let new_since = self.first_era.filter(|&first| partition.is_new(first));
+        if !(is_current && is_free || new_since.is_some() || is_expired) {
             return Step::Wait;
         }
         let windows = match &partition.record {
@@ -216,8 +242,8 @@
             _ if is_current => BTreeMap::new(),
             // An empty window keeps this holder and later ones from reporting it or earlier ones.
             _ => {
-                let last_closed = partition.open_window.saturating_sub(1);
-                BTreeMap::from([(last_closed, RequestCounts::new())])
+                let open_window = new_since.map_or(partition.open_window, |new| new.open_window);
+                BTreeMap::from([(open_window.saturating_sub(1), RequestCounts::new())])
             }
         };
         let record = LeaseRecord {
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -14,6 +14,7 @@
 use crate::prompt_suspects::{PartBreak, PartHash, PartHistory};
 use crate::quota::PeerDemand;
 use crate::report_schedule::{self, Schedule};
+use crate::store_role::StoreEra;
 use crate::suspects::{Fingerprint, RequestHistory};
 use crate::usage::Source;
 
@@ -298,6 +299,14 @@
         suspects
     }
 
+    /// Whether all known gateways are live and report this era as the first one that they know.
+    pub fn agree_on_first_era(&self, now: Duration, era: StoreEra) -> bool {
+        let agreeing = self.live(now).filter(|peer| peer.report.first_store_era == Some(era));
+        let agreeing: BTreeSet<SocketAddr> = agreeing.map(|peer| peer.address).collect();
+        self.peers.values().all(|peer| agreeing.contains(&peer.address))
+            && self.addresses.keys().all(|address| agreeing.contains(address))
+    }
+
     /// Last refusals of suspected requests at the other gateways.
     pub fn request_refusals(&self) -> HashMap<Fingerprint, Duration> {
         self.last_refusals(|report| {
--- a/forwarding/tests/lease.rs
+++ b/forwarding/tests/lease.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use forwarding::lease::{AppendOutcome, Lease, LeaseRecord, PartitionContent, Step};
+use forwarding::lease::{AppendOutcome, FirstEra, Lease, LeaseRecord, PartitionContent, Step};
 use forwarding::store_role::StoreEra;
 use forwarding::usage::{RequestCounts, WindowIndex};
 use support::ms;
@@ -110,12 +110,13 @@
 
 /// Simulates three gateways for a minute. Calls may be lost before or after they take effect, and
 /// gateways may freeze. With `is_restored`, the log is restored from a copy at random times, and
-/// appends may take effect seconds after they were sent.
-fn run(seed: u64, is_restored: bool) -> Observed {
+/// appends may take effect seconds after they were sent. `first_era` is what the gateways agree on.
+fn run(seed: u64, is_restored: bool, first_era: Option<FirstEra>) -> Observed {
     let mut random = Random(seed);
     let mut log = Log { era: 1, ..Log::default() };
     let mut leases: Vec<Lease> =
         (0..3).map(|each| Lease::new(format!("g{each}"), each, LEASE)).collect();
+    leases.iter_mut().for_each(|lease| lease.set_first_era(first_era));
     let mut frozen_until_ms = [0; 3];
     let mut observed = Observed::default();
     for at_ms in (0..60_000).step_by(100) {
@@ -174,7 +175,7 @@
 fn holders_neither_alternate_nor_report_different_counts() {
     let mut runs_with_holder = 0;
     for seed in 0..300 {
-        let observed = run(seed, false);
+        let observed = run(seed, false, None);
         observed.check();
         runs_with_holder += usize::from(!observed.actions.is_empty());
     }
@@ -187,13 +188,21 @@
 fn holders_of_a_restored_log_differ_in_epochs_and_not_in_counts() {
     let mut runs_with_holder = 0;
     for seed in 0..300 {
-        let observed = run(seed, true);
+        let observed = run(seed, true, None);
         observed.check();
         runs_with_holder += usize::from(!observed.actions.is_empty());
     }
     assert!(runs_with_holder >= 295, "only {runs_with_holder} of 300 runs had a holder");
 }
 
+/// Guards against the same where the first lease is taken at once, and is lost in a restoration.
+#[test]
+fn holders_of_a_restored_log_differ_in_epochs_if_they_know_its_first_era() {
+    for seed in 0..300 {
+        run(seed, true, Some(FirstEra { era: 1, open_window: 0 })).check();
+    }
+}
+
 /// Guards against a holder that loses the lease, or its windows, with the records of the log.
 #[test]
 fn holder_writes_lost_record_again_while_its_lease_lasts() {
@@ -249,3 +258,35 @@
     assert_eq!(lease.step(ms(2_900), false, 0, None), Step::Wait);
     assert!(matches!(lease.step(ms(6_000), false, 0, None), Step::Append { .. }));
 }
+
+/// Guards against a first takeover that waits though no gateway ever held the lease.
+#[test]
+fn takes_a_lease_that_never_existed_at_once() {
+    let mut lease = Lease::new("g".to_owned(), 1, LEASE);
+    lease.set_first_era(Some(FirstEra { era: 1, open_window: 6 }));
+    lease.on_read(ms(0), read(1, 0, None), 8);
+    let Step::Append { at, record } = lease.step(ms(0), false, 0, None) else { panic!() };
+    assert_eq!(at, 0);
+    assert_eq!(record.windows, BTreeMap::from([(5, RequestCounts::new())]));
+}
+
+/// Guards against holders that act alternately after records of the lease were lost (ONE).
+#[test]
+fn waits_if_a_record_of_the_lease_may_have_been_lost() {
+    let first = |era| Some(FirstEra { era, open_window: 6 });
+    let other = LeaseRecord { holder: "other".to_owned(), epoch: 1, ..LeaseRecord::default() };
+    let contents = [
+        (None, read(1, 0, None)),
+        (first(1), read(2, 0, None)),
+        (first(1), read(1, 3, None)),
+        (first(1), read(1, 1, Some(other))),
+    ];
+    for (first_era, content) in contents {
+        let mut lease = Lease::new("g".to_owned(), 1, LEASE);
+        lease.set_first_era(first_era);
+        lease.on_read(ms(0), content, 8);
+        assert_eq!(lease.step(ms(3_800), false, 0, None), Step::Wait);
+        let Step::Append { record, .. } = lease.step(ms(6_000), false, 0, None) else { panic!() };
+        assert_eq!(record.windows, BTreeMap::from([(7, RequestCounts::new())]));
+    }
+}
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -1,7 +1,7 @@
 //! State shared by all tasks of the gateway.
 
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -41,6 +41,8 @@
     release_record: Mutex<ReleaseRecord>,
     /// Latest era of the store; `None` until it is known.
     store_era: watch::Sender<Option<StoreEra>>,
+    /// First era of the store in this process.
+    first_store_era: OnceLock<StoreEra>,
 }
 
 /// Handle of the shared state and the clock; cheap to clone.
@@ -79,6 +81,7 @@
             phase,
             release_record: Mutex::default(),
             store_era: watch::Sender::new(None),
+            first_store_era: OnceLock::new(),
         };
         Context { shared: Arc::new(shared), clock }
     }
@@ -119,6 +122,7 @@
         if known.is_some_and(|known| era <= known) {
             return;
         }
+        self.first_store_era.get_or_init(|| era);
         self.store_era.send_replace(Some(era));
         metrics::gauge!("gateway_store_era").set(era as f64);
         if known.is_some() {
@@ -130,6 +134,11 @@
         }
     }
 
+    /// First era of the store in this process; `None` until the store answers.
+    pub(crate) fn first_store_era(&self) -> Option<StoreEra> {
+        self.first_store_era.get().copied()
+    }
+
     /// Latest era of the store, to wait for its changes.
     pub(crate) fn store_era(&self) -> watch::Receiver<Option<StoreEra>> {
         self.store_era.subscribe()
--- a/gateway/src/duties.rs
+++ b/gateway/src/duties.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use forwarding::lease::{
-    AppendOutcome, CALL_TIMEOUT, CLOCK_MARGIN, Lease, LeaseRecord, PartitionContent, Step,
+    AppendOutcome, CALL_TIMEOUT, CLOCK_MARGIN, FirstEra, Lease, LeaseRecord, PartitionContent, Step,
 };
 use forwarding::scaling::{Order, OrderOutcome, PlanInput, Planner};
 use forwarding::usage::{self, RequestCounts, WindowIndex};
@@ -40,6 +40,8 @@
     planner: Planner,
     reports_usage: bool,
     orders_replicas: bool,
+    /// First era of the store in this process.
+    first_era: Option<FirstEra>,
 }
 
 /// Takes the lease when it is free, and performs the duties while it is held. Returns at once if the
@@ -60,8 +62,10 @@
         planner: Planner::default(),
         reports_usage: settings.reports_usage,
         orders_replicas: settings.orders_replicas,
+        first_era: None,
         context,
     };
+    runner.wait_for_store().await;
     time::sleep(START_DELAY).await;
     loop {
         runner.tick().await;
@@ -76,6 +80,10 @@
             let peers = &self.context.dispatcher().peers;
             (peers.has_lease_holder(now), peers.name_rank(now, &self.name))
         };
+        let first_era = self
+            .first_era
+            .filter(|first| self.context.dispatcher().peers.agree_on_first_era(now, first.era));
+        self.lease.set_first_era(first_era);
         let due = self.due_window(now);
         match self.lease.step(now, has_live_holder, rank, due) {
             Step::Wait => {}
@@ -91,6 +99,16 @@
         }
     }
 
+    /// Waits until the store answers, and remembers its era and which windows are open then.
+    async fn wait_for_store(&mut self) {
+        let mut store_era = self.context.store_era();
+        // The sender lives as long as the context.
+        let _ = store_era.wait_for(Option::is_some).await;
+        let open_window = self.open_window(self.context.now(), CLOCK_MARGIN);
+        let era = self.context.first_store_era();
+        self.first_era = era.map(|era| FirstEra { era, open_window });
+    }
+
     /// First window whose counts are not complete yet, according to a clock that is `ahead`.
     fn open_window(&self, now: Duration, ahead: Duration) -> WindowIndex {
         let dispatcher = self.context.dispatcher();
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -246,6 +246,7 @@
         interval_ms: 0,
         data_centre: dispatcher.settings.data_centre.clone(),
         is_brief: false,
+        first_store_era: context.first_store_era(),
     }
 }
 
