--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -209,7 +209,8 @@
         let breaks = seen.breaks.iter();
         let breaks = breaks.map(|&(endpoint, at)| gossip::Break { endpoint, age_ms: age_ms(at) });
         let finished_age_ms = seen.finished_at.map(age_ms);
-        gossip::Suspect { fingerprint, breaks: breaks.collect(), finished_age_ms }
+        let refused_age_ms = dispatcher.suspects.refused_at(fingerprint).map(age_ms);
+        gossip::Suspect { fingerprint, breaks: breaks.collect(), finished_age_ms, refused_age_ms }
     });
     let suspects = suspects.collect();
     let prompt_suspects = dispatcher.prompt_suspects.to_report().into_iter().map(|(part, seen)| {
@@ -220,7 +221,14 @@
         });
         let finished_age_ms = seen.finished_at.map(age_ms);
         let is_refused = seen.is_refused;
-        gossip::PromptSuspect { part, breaks: breaks.collect(), finished_age_ms, is_refused }
+        let refused_age_ms = dispatcher.prompt_suspects.refused_at(part).map(age_ms);
+        gossip::PromptSuspect {
+            part,
+            breaks: breaks.collect(),
+            finished_age_ms,
+            is_refused,
+            refused_age_ms,
+        }
     });
     let prompt_suspects = prompt_suspects.collect();
     let held_parts = held_parts(&dispatcher, now);
@@ -248,6 +256,7 @@
         interval_ms: 0,
         data_centre: dispatcher.settings.data_centre.clone(),
         is_brief: false,
+        first_store_era: context.first_store_era(),
     }
 }
 
