Decide on roll-outs of versions

No code read the operator's orders to move a service's traffic to another version. A gateway now gives the ordered version a small share of its own first attempts while the holder of the duties permits it, and the holder compares the answers of both versions, summed over all gateways, on each route and on all together. Without the bounds in the settings nothing changes. Endpoint entries and reports carry the version; the selection takes a filter of endpoints (one parameter in selection.rs, two calls in dispatcher/targets.rs).

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -17,6 +17,8 @@
 use crate::release::{Release, RouteKind};
 use crate::request::{Prompt, Request};
 use crate::retry_budget::RetryBudget;
+use crate::rollout::Rollouts;
+use crate::rollout::evidence::Ending;
 use crate::settings::Settings;
 use crate::store_role::{StoreAnswerTimes, StoreRole};
 use crate::suspects::{self, Fingerprint, Suspects};
@@ -101,6 +103,8 @@
     is_usage_counted: bool,
     /// Time of sending to an endpoint without queued prompts, until the first event.
     sent_to_idle_at: Option<Duration>,
+    /// Time of sending of the attempt in progress.
+    sent_at: Duration,
     /// Time of the first event of the attempt in progress.
     first_event_at: Option<Duration>,
 }
@@ -170,6 +174,8 @@
     pub arrival_meter: ArrivalMeter,
     /// Memory of incomplete answers.
     pub answer_memory: AnswerMemory,
+    /// Roll-outs of versions of the services.
+    pub rollouts: Rollouts,
     release: Option<Arc<Release>>,
     retry_budget: RetryBudget,
 }
@@ -179,6 +185,8 @@
     pub fn new(settings: Settings) -> Dispatcher {
         let accounts = Accounts::new(settings.bounds.quota);
         let answer_memory = AnswerMemory::new(settings.memory_bytes);
+        let hold_time = settings.bounds.freshness();
+        let rollouts = Rollouts::new(&settings.name, settings.bounds.rollout, hold_time);
         Dispatcher {
             settings,
             endpoints: EndpointTable::default(),
@@ -191,6 +199,7 @@
             store_answer_times: StoreAnswerTimes::default(),
             arrival_meter: ArrivalMeter::default(),
             answer_memory,
+            rollouts,
             release: None,
             retry_budget: RetryBudget::default(),
         }
@@ -295,6 +304,7 @@
             quota_units,
             is_usage_counted: false,
             sent_to_idle_at: None,
+            sent_at: now,
             first_event_at: None,
         })
     }
@@ -354,6 +364,7 @@
         target: &Target,
     ) -> bool {
         self.record_generation(now, admitted);
+        self.observe(now, admitted, target, Ending::Answered);
         self.endpoints.on_ended(&target.id);
         self.suspects.on_finished(now, admitted.fingerprint);
         if admitted.prompt.is_some() {
@@ -375,6 +386,13 @@
             self.endpoints.on_first_event(&target.id, admitted.waiting_tokens());
         }
         self.record_generation(now, admitted);
+        match outcome {
+            Outcome::Broken => self.observe(now, admitted, target, Ending::Broken),
+            Outcome::Failed | Outcome::TimedOut => {
+                self.observe(now, admitted, target, Ending::Failed);
+            }
+            Outcome::Unreachable | Outcome::Refused | Outcome::Misdirected => {}
+        }
         self.endpoints.on_ended(&target.id);
         if outcome.may_have_run() {
             admitted.possible_runs += 1;
@@ -418,6 +436,7 @@
             self.endpoints.on_first_event(&target.id, admitted.waiting_tokens());
         }
         self.record_generation(now, admitted);
+        self.observe(now, admitted, target, Ending::Abandoned);
         self.endpoints.on_ended(&target.id);
         self.endpoints.on_inconclusive(&target.id);
     }
@@ -451,6 +470,7 @@
         self.peers.tick(now);
         let loads = self.peers.loads(now);
         self.endpoints.set_peer_loads(&loads);
+        self.rollouts.observe_versions(now, &self.endpoints);
         let demands = self.peers.demands(now);
         let release = self.release.clone();
         for organisation in release.iter().flat_map(|release| &release.organisations) {
--- a/forwarding/src/dispatcher/targets.rs
+++ b/forwarding/src/dispatcher/targets.rs
@@ -5,6 +5,8 @@
 use super::{AdmittedRequest, Dispatcher, Outcome, Target};
 use crate::endpoints::{Endpoint, EndpointId};
 use crate::refusal::{RefusalReason, UNAVAILABLE_RETRY_AFTER};
+use crate::rollout::Choice;
+use crate::rollout::evidence::{Ending, Observation};
 use crate::selection::{self, SelectionCriteria};
 
 /// Attempt that replaces a silent one.
@@ -28,15 +30,26 @@
         admitted: &mut AdmittedRequest,
     ) -> Result<Target, RefusalReason> {
         let has_run = admitted.possible_runs > 0;
-        let selected = self.select_endpoint(now, admitted, has_run, &admitted.tried);
+        let choice = self.rollouts.choose(now, &admitted.service, admitted.tried.is_empty());
+        let select = |choice, tried: &[EndpointId]| {
+            self.select_endpoint(now, admitted, has_run, tried, choice)
+        };
+        let selected = select(choice, &admitted.tried).or_else(|refusal| match choice {
+            Choice::New => select(Choice::Old, &admitted.tried),
+            Choice::Any | Choice::Old => Err(refusal),
+        });
+        let is_silent_one = selected.is_err();
         let endpoint = selected.or_else(|refusal| {
             // An endpoint that was silent may be sound, unlike one that failed.
-            let silent = admitted.silent.take().ok_or(refusal)?;
-            let others = admitted.tried.iter().filter(|&tried| *tried != silent);
+            let silent = admitted.silent.as_ref().ok_or(refusal)?;
+            let others = admitted.tried.iter().filter(|&tried| tried != silent);
             let others: Vec<EndpointId> = others.cloned().collect();
-            self.select_endpoint(now, admitted, has_run, &others)
+            select(choice, &others)
         })?;
         let (target, is_idle) = (target(endpoint, now), is_idle(endpoint, now));
+        if is_silent_one {
+            admitted.silent = None;
+        }
         self.take_retry(now, admitted)?;
         self.on_sent(now, admitted, &target, is_idle);
         Ok(target)
@@ -48,6 +61,7 @@
         admitted: &AdmittedRequest,
         has_run: bool,
         tried: &[EndpointId],
+        choice: Choice,
     ) -> Result<&Endpoint, RefusalReason> {
         if admitted.time_left(now).is_zero() {
             return Err(RefusalReason::Expired);
@@ -62,7 +76,11 @@
             data_centre: &self.settings.data_centre,
             tried,
         };
-        selection::select(&self.endpoints, now, &criteria).ok_or_else(|| {
+        let allowed = self.rollouts.allowed(now, &self.endpoints, &admitted.service, choice);
+        let is_allowed = |endpoint: &Endpoint| {
+            allowed.as_ref().is_none_or(|allowed| allowed.contains(&endpoint.entry.id))
+        };
+        selection::select(&self.endpoints, now, &criteria, is_allowed).ok_or_else(|| {
             selection::earliest_wait_end(&self.endpoints, now, &admitted.service)
                 .map_or(RefusalReason::NoEndpoint, |end| RefusalReason::Full {
                     wait: end.saturating_sub(now),
@@ -96,11 +114,35 @@
         is_idle: bool,
     ) {
         self.endpoints.on_sent(now, &target.id, admitted.waiting_tokens());
+        if let Some(endpoint) = self.endpoints.get(&target.id) {
+            self.rollouts.on_sent(&admitted.service, &endpoint.entry.version);
+        }
         admitted.sent_to_idle_at = is_idle.then_some(now);
+        admitted.sent_at = now;
         admitted.first_event_at = None;
         admitted.tried.push(target.id.clone());
     }
 
+    /// Records what an attempt showed of its endpoint's version.
+    pub(super) fn observe(
+        &mut self,
+        now: Duration,
+        admitted: &AdmittedRequest,
+        target: &Target,
+        ending: Ending,
+    ) {
+        let Some(endpoint) = self.endpoints.get(&target.id) else { return };
+        let first_event_at = admitted.first_event_at;
+        let seen = Observation {
+            route: &admitted.route,
+            prompt: admitted.prompt.as_ref(),
+            ending,
+            first_event_time: first_event_at.map(|at| at.saturating_sub(admitted.sent_at)),
+            total_time: now.saturating_sub(admitted.sent_at),
+        };
+        self.rollouts.on_observation(now, endpoint, &seen);
+    }
+
     /// Ends an attempt whose endpoint is silent, and selects another endpoint and counts the new
     /// attempt as sent.
     ///
@@ -116,7 +158,9 @@
         if !admitted.may_run_again() || admitted.time_left(now) < admitted.latency_target {
             return None;
         }
-        let endpoint = self.select_endpoint(now, admitted, true, &admitted.tried).ok()?;
+        let choice = self.rollouts.choose(now, &admitted.service, false);
+        let selected = self.select_endpoint(now, admitted, true, &admitted.tried, choice);
+        let endpoint = selected.ok()?;
         if !endpoint.is_healthy(now) || endpoint.requests() >= endpoint.entry.capacity {
             return None;
         }
--- a/forwarding/src/endpoints.rs
+++ b/forwarding/src/endpoints.rs
@@ -16,6 +16,7 @@
 use crate::departures::{self, Departures};
 use crate::release::ServiceName;
 use crate::requested_waits::RequestedWaits;
+use crate::rollout::Version;
 use crate::suspects;
 
 /// Id of an endpoint; a later process may reuse it.
@@ -39,6 +40,8 @@
     pub address: SocketAddr,
     /// Data centre.
     pub data_centre: String,
+    /// Version of its software; empty if the entry has none.
+    pub version: Version,
     /// Maximum number of concurrent requests.
     pub capacity: u32,
     /// Whether the endpoint is about to leave.
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod request;
 mod requested_waits;
 pub mod retry_budget;
+pub mod rollout;
 pub mod scaling;
 pub mod selection;
 pub mod settings;
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -14,6 +14,7 @@
 use crate::prompt_suspects::{PartBreak, PartHash, PartHistory};
 use crate::quota::PeerDemand;
 use crate::report_schedule::{self, Schedule};
+use crate::rollout::Revision;
 use crate::suspects::{Fingerprint, RequestHistory};
 use crate::usage::Source;
 
@@ -275,6 +276,20 @@
         sum
     }
 
+    /// Roll-outs that the other gateways last reported.
+    pub fn rollouts(&self) -> impl Iterator<Item = &gossip::Rollout> {
+        self.peers.values().flat_map(|peer| &peer.report.rollouts)
+    }
+
+    /// Number of live gateways that have not reported this revision of a service's roll-out.
+    pub fn gateways_behind(&self, now: Duration, service: &str, revision: Revision) -> u32 {
+        let has_revision = |peer: &&Peer| {
+            let mut rows = peer.report.rollouts.iter();
+            rows.any(|row| row.service == service && row.revision >= revision)
+        };
+        self.live(now).filter(|peer| !has_revision(peer)).count() as u32
+    }
+
     /// Names and incarnations of the live gateways.
     pub fn live_sources(&self, now: Duration) -> BTreeSet<Source> {
         let reports = self.live(now).map(|peer| &peer.report);
--- a/forwarding/src/selection.rs
+++ b/forwarding/src/selection.rs
@@ -53,7 +53,8 @@
     pub tried: &'c [EndpointId],
 }
 
-/// Selects the endpoint with the lowest cost, or returns `None` if none is left to try.
+/// Selects the endpoint with the lowest cost among those that `is_allowed` accepts, or returns `None`
+/// if none is left to try.
 ///
 /// Ejected or refusing endpoints are selected only if no healthy one is left, endpoints that
 /// requested a wait not at all.
@@ -61,9 +62,11 @@
     table: &'t EndpointTable,
     now: Duration,
     criteria: &SelectionCriteria<'_>,
+    is_allowed: impl Fn(&Endpoint) -> bool,
 ) -> Option<&'t Endpoint> {
     let candidates: Vec<&Endpoint> = table
         .of_service(criteria.service)
+        .filter(|endpoint| is_allowed(endpoint))
         .filter(|endpoint| !criteria.tried.contains(&endpoint.entry.id))
         .filter(|endpoint| table.wait_end(now, endpoint).is_none())
         .collect();
--- a/forwarding/src/settings.rs
+++ b/forwarding/src/settings.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::quota::QuotaBounds;
+use crate::rollout::RolloutBounds;
 
 /// Settings of one gateway, as the deployment gives them.
 #[derive(Debug, Clone, PartialEq)]
@@ -59,6 +60,8 @@
     pub lease_duration: Duration,
     /// Length of a usage window.
     pub usage_window: Duration,
+    /// Limits on roll-outs; `None` if the deployment has none, and orders have no effect.
+    pub rollout: Option<RolloutBounds>,
 }
 
 impl Default for Bounds {
@@ -73,6 +76,7 @@
             quota: QuotaBounds { window: Duration::from_secs(8), overshoot: 0.1, slack_units: 0.0 },
             lease_duration: Duration::from_secs(3),
             usage_window: Duration::from_secs(5),
+            rollout: None,
         }
     }
 }
--- a/forwarding/tests/support/mod.rs
+++ b/forwarding/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod fleet_load;
+pub(crate) mod rollout_fleet;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -22,7 +23,7 @@
 pub(crate) const QUOTA_BOUNDS: QuotaBounds =
     QuotaBounds { window: Duration::from_secs(8), overshoot: 0.1, slack_units: 72_000.0 };
 
-pub(crate) fn ms(value: u64) -> Duration {
+pub(crate) const fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
 }
 
@@ -51,6 +52,7 @@
         service: service.to_owned(),
         address: "127.0.0.1:9000".parse().unwrap(),
         data_centre: "north".to_owned(),
+        version: "v1".to_owned(),
         capacity: 6,
         is_leaving: false,
         is_reclaimable: false,
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -144,6 +144,7 @@
             departed.push(departure.endpoint.clone());
         }
     }
+    dispatcher.rollouts.on_report(now, &report.rollouts);
     let (name, joined) = (report.name.clone(), report.joined.clone());
     dispatcher.peers.on_report(now, unix_time, from, report);
     drop(dispatcher);
@@ -237,6 +238,7 @@
         interval_ms: 0,
         data_centre: dispatcher.settings.data_centre.clone(),
         is_brief: false,
+        rollouts: dispatcher.rollouts.to_report(now),
     }
 }
 
@@ -287,6 +289,7 @@
         service: entry.service.clone(),
         address: entry.address.to_string(),
         data_centre: entry.data_centre.clone(),
+        version: entry.version.clone(),
         capacity: entry.capacity,
         is_reclaimable: entry.is_reclaimable,
         warm_up_ms: u64::try_from(entry.warm_up.as_millis()).unwrap_or(u64::MAX),
@@ -301,6 +304,7 @@
         service: row.service.clone(),
         address: row.address.parse().ok()?,
         data_centre: row.data_centre.clone(),
+        version: row.version.clone(),
         capacity: row.capacity,
         is_leaving: false,
         is_reclaimable: row.is_reclaimable,
