Follow orders of roll-outs, record decisions, write the status

Orders are read with the operator's topic (two lines in store_watch.rs) and spread by the reports. A task of its own decides and writes while the duties are held; other gateways read the records when no report tells. Settings with the three bounds switch it on.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod relay;
 mod release_record;
 mod reporter;
+mod rollouts;
 pub mod run;
 mod server;
 mod shutdown;
--- a/gateway/src/run.rs
+++ b/gateway/src/run.rs
@@ -15,7 +15,7 @@
 
 use crate::context::Context;
 use crate::shutdown::{self, Phase};
-use crate::{duties, frontend, gossip, handover, logger, monitoring, store_watch};
+use crate::{duties, frontend, gossip, handover, logger, monitoring, rollouts, store_watch};
 
 /// Upper bounds of the buckets of latency histograms, in seconds, around common latency targets.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.01, 0.03, 0.06, 0.12, 0.25, 0.5, 1.0, 2.0, 5.0, 15.0];
@@ -66,6 +66,7 @@
     tasks.spawn(handover::serve(context.clone(), handover_listener));
     tasks.spawn(gossip::run(context.clone(), socket));
     tasks.spawn(duties::run(context.clone()));
+    tasks.spawn(rollouts::run(context.clone()));
     tasks.spawn(frontend::serve(context.clone(), caller_listener));
     stop.await;
     shutdown::run(context, phase_sender).await;
--- a/gateway/src/store_watch.rs
+++ b/gateway/src/store_watch.rs
@@ -13,6 +13,7 @@
 use tokio::time;
 
 use crate::context::Context;
+use crate::rollouts;
 
 /// Maximum silence of the store during a read; it usually answers within a few milliseconds.
 const READ_SILENCE_TIMEOUT: Duration = Duration::from_millis(450);
@@ -87,6 +88,8 @@
         apply_release_records(&context, &listing.records);
         let listed_era = store.era();
         let mut next_offset = listing.end_offset;
+        let position = |offset| rollouts::position(listed_era, offset);
+        rollouts::apply_listing(&context, &listing.records, position(next_offset));
         loop {
             if !context.dispatcher().store_role.is_reader() {
                 // A newer release is known from the reports of readers. If the readers stop
@@ -114,6 +117,7 @@
                     health.on_answer(&context, &store);
                     apply_release_records(&context, &records);
                     next_offset = new_offset;
+                    rollouts::apply_records(&context, &records, position(next_offset));
                 }
                 Ok(ReadResult::Deleted) => break,
                 Err(error) => {
