Roll an order back whose time has passed, and permit a phase at once

A new phase was permitted only at the holder's next check, so that other gateways read the record meanwhile.

--- a/forwarding/src/rollout/plan.rs
+++ b/forwarding/src/rollout/plan.rs
@@ -117,7 +117,8 @@
             let switch_time = duration.mul_f64(spare_share.clamp(0.0, 0.5)).max(MIN_SWITCH_TIME);
             let switch_at = duration.saturating_sub(switch_time).max(duration / 2);
             let obstacle = obstacle(view);
-            if obstacle.is_none() && (elapsed >= switch_at || view.old_capacity == 0) {
+            let is_due = elapsed >= switch_at && elapsed < duration;
+            if obstacle.is_none() && (is_due || view.old_capacity == 0) {
                 let revision = record.revision + 1;
                 return Some(Record { phase: Phase::Switch, revision, ..record.clone() });
             }
--- a/forwarding/tests/rollout.rs
+++ b/forwarding/tests/rollout.rs
@@ -157,6 +157,20 @@
     }
 }
 
+/// An order whose time passes without a holder of the duties is not carried out late.
+#[test]
+fn order_without_a_decision_in_time_is_rolled_back() {
+    let mut fleet = Fleet::new(3, 8, 60, 60);
+    fleet.run(ms(3_000), PER_S, sound);
+    fleet.order(DURATION);
+    fleet.run(ms(15_000), PER_S, sound);
+    fleet.is_store_down = true;
+    fleet.run(ms(34_000), PER_S, sound);
+    fleet.is_store_down = false;
+    fleet.run(ms(36_000), PER_S, sound);
+    assert_eq!((fleet.phase(), fleet.reason()), (Some(Phase::RolledBack), "no decision in time"));
+}
+
 fn table(versions: &[&str]) -> forwarding::endpoints::EndpointTable {
     let mut table = forwarding::endpoints::EndpointTable::default();
     for version in versions {
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -224,7 +224,11 @@
             self.phases.insert(service.to_owned(), (next.revision, self.context.now()));
             metrics::counter!("gateway_rollout_decisions_total", "phase" => next.phase.to_string())
                 .increment(1);
+            let is_final = next.phase.is_final();
             self.apply(next);
+            if !is_final {
+                self.context.dispatcher().rollouts.grant(self.context.now(), service);
+            }
         }
     }
 
