--- a/forwarding/tests/rollout.rs
+++ b/forwarding/tests/rollout.rs
@@ -17,15 +17,24 @@
     (false, 1.0)
 }
 
+fn play(fleet: &mut Fleet, per_s: f64, answer: impl FnMut(Sent<'_>) -> Answer) {
+    play_order(fleet, DURATION, per_s, answer);
+}
+
 /// Plays three seconds before the order, and the order to its end.
-fn play(fleet: &mut Fleet, per_s: f64, mut answer: impl FnMut(Sent<'_>) -> Answer) {
+fn play_order(
+    fleet: &mut Fleet,
+    duration: Duration,
+    per_s: f64,
+    mut answer: impl FnMut(Sent<'_>) -> Answer,
+) {
     fleet.run(ms(3_000), per_s, sound);
-    fleet.order(DURATION);
+    fleet.order(duration);
     let start = fleet.now;
     let mut answer = |sent: Sent<'_>| answer(Sent { at: sent.at - start, ..sent });
-    fleet.run(start + DURATION, per_s, &mut answer);
+    fleet.run(start + duration, per_s, &mut answer);
     let (requests, exposed) = (fleet.requests, fleet.exposed);
-    fleet.run(start + DURATION + ms(3_000), per_s, &mut answer);
+    fleet.run(start + duration + ms(3_000), per_s, &mut answer);
     // The exposure is counted up to the time limit.
     (fleet.requests, fleet.exposed) = (requests, exposed);
 }
@@ -76,6 +85,16 @@
     }
 }
 
+/// The many sound answers before do not hide the fault.
+#[test]
+fn version_that_turns_slightly_bad_late_is_rolled_back() {
+    let mut fleet = Fleet::new(5, 8, 60, 60);
+    play_order(&mut fleet, ms(180_000), PER_S, |sent| {
+        (sent.is_new && sent.at > ms(90_000) && sent.random < 0.05, 1.0)
+    });
+    assert_rolled_back(&fleet, "slightly bad late");
+}
+
 #[test]
 fn good_versions_are_completed_in_time() {
     for gateways in [8, 74, 300] {
