--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -37,6 +37,7 @@
 mod requested_waits;
 pub mod residency;
 pub mod retry_budget;
+pub mod rollout;
 pub mod scaling;
 pub mod selection;
 pub mod settings;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod release_record;
 mod reporter;
 mod residency_watch;
+mod rollouts;
 pub mod run;
 mod server;
 mod shutdown;
