Bound what a gateway holds for callers

Now one account (forwarding::caller_connections) holds connections, bodies in the size of their buffers and whole answers. Bodies that stop yield to those that move, connections without a request to new ones; a request that may run never yields. Bodies are copied into one buffer, a body announced as too long is refused at once, and a connection is closed after the refusal of a body, with a short time in which the caller can take the answer. limits.max_fds is read from the settings. Earlier body_bytes of the context is gone; its only use was the bound on complete bodies.

--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -19,6 +19,7 @@
 
 pub mod answer_memory;
 pub mod arrivals;
+pub mod caller_connections;
 pub mod catch_up;
 mod departures;
 pub mod dispatcher;
--- a/forwarding/src/settings.rs
+++ b/forwarding/src/settings.rs
@@ -32,6 +32,8 @@
     pub orders_replicas: bool,
     /// Memory that the process may use, in bytes.
     pub memory_bytes: u64,
+    /// Descriptors that the process may use.
+    pub max_fds: usize,
     /// Interval at which endpoints renew their entries in the store.
     pub heartbeat_interval: Duration,
     /// Limits on the behaviour of the gateways.
--- a/forwarding/tests/support/mod.rs
+++ b/forwarding/tests/support/mod.rs
@@ -40,6 +40,7 @@
         reports_usage: true,
         orders_replicas: true,
         memory_bytes: 1 << 28,
+        max_fds: 4_096,
         heartbeat_interval: ms(1_200),
         bounds: Bounds { retry_slack: 56.0, quota: QUOTA_BOUNDS, ..Bounds::default() },
     }
--- a/gateway/src/context.rs
+++ b/gateway/src/context.rs
@@ -12,6 +12,7 @@
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
 
+use crate::caller_limits::CallerLimits;
 use crate::clock::BootClock;
 use crate::open_requests::Counters;
 use crate::pool::Pool;
@@ -31,8 +32,8 @@
     pub(crate) holds_lease: AtomicBool,
     /// Number of admitted requests that are not finished.
     pub(crate) admitted_requests: AtomicUsize,
-    /// Total length of the bodies of these requests.
-    pub(crate) body_bytes: AtomicUsize,
+    /// Limits on what is held for callers.
+    pub(crate) caller_limits: Arc<CallerLimits>,
     /// Requests that are not completely answered, and callers' connections.
     pub(crate) open_requests: Arc<Counters>,
     /// Phase of the shutdown.
@@ -67,6 +68,7 @@
         phase: watch::Receiver<Phase>,
     ) -> Context {
         let clock = BootClock;
+        let caller_limits = CallerLimits::new(&dispatcher.settings, logger.clone());
         let shared = Shared {
             dispatcher: Mutex::new(dispatcher),
             pool: Pool::default(),
@@ -74,7 +76,7 @@
             incarnation: clock.unix_time().as_nanos() as u64,
             holds_lease: AtomicBool::new(false),
             admitted_requests: AtomicUsize::new(0),
-            body_bytes: AtomicUsize::new(0),
+            caller_limits: Arc::new(caller_limits),
             open_requests: Arc::default(),
             phase,
             release_record: Mutex::default(),
@@ -135,24 +137,21 @@
         self.store_era.subscribe()
     }
 
-    /// Counts an admitted request and its body until the guard is dropped.
-    pub(crate) fn count_admitted(&self, body_bytes: usize) -> AdmittedCount {
+    /// Counts an admitted request until the guard is dropped.
+    pub(crate) fn count_admitted(&self) -> AdmittedCount {
         self.admitted_requests.fetch_add(1, Ordering::Relaxed);
-        self.body_bytes.fetch_add(body_bytes, Ordering::Relaxed);
-        AdmittedCount { context: self.clone(), body_bytes }
+        AdmittedCount { context: self.clone() }
     }
 }
 
-/// Guard that counts one admitted request and its body.
+/// Guard that counts one admitted request.
 #[derive(Debug)]
 pub(crate) struct AdmittedCount {
     context: Context,
-    body_bytes: usize,
 }
 
 impl Drop for AdmittedCount {
     fn drop(&mut self) {
         self.context.admitted_requests.fetch_sub(1, Ordering::Relaxed);
-        self.context.body_bytes.fetch_sub(self.body_bytes, Ordering::Relaxed);
     }
 }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -117,7 +117,7 @@
         admitted: AdmittedRequest,
         outgoing: OutgoingRequest,
     ) -> Exchange {
-        let admitted_count = context.count_admitted(outgoing.body.len());
+        let admitted_count = context.count_admitted();
         Exchange {
             context,
             admitted,
--- a/gateway/src/frontend.rs
+++ b/gateway/src/frontend.rs
@@ -4,7 +4,6 @@
 use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::{future, io};
 
@@ -19,22 +18,24 @@
 use gotham::state::{FromState, State};
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Method, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full, Limited, StreamBody};
+use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper_util::rt::TokioTimer;
 use platform::headers;
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::task::JoinSet;
+use tokio::task::{self, JoinSet};
 use tokio::time;
 
+use crate::caller_limits::{Caller, CallerLimits};
 use crate::context::Context;
 use crate::exchange::{Exchange, OutgoingRequest};
 use crate::give_up::GiveUpReason;
 use crate::logger;
-use crate::open_requests::{CallerStream, OpenRequest, Stage};
+use crate::open_requests::{CallerStream, ConnectionState, OpenRequest, Stage};
 use crate::relay::{self, Relay};
+use crate::request_body::{self, BodyError};
 use crate::shutdown::{self, Phase};
 
 /// Delay after a failed accept, for example when the process has no file descriptors left.
@@ -44,9 +45,6 @@
 /// accepted. The surplus covers a later release with a longer idle timeout.
 const HEADER_READ_TIMEOUT_FACTOR: u32 = 4;
 
-/// Request bodies may take the process's memory divided by this.
-const BODY_MEMORY_DIVISOR: u64 = 4;
-
 /// Accepts callers' connections until the last phase of the shutdown, and serves them. All of them
 /// are closed when this is dropped.
 pub(crate) async fn serve(context: Context, listener: TcpListener) {
@@ -58,7 +56,14 @@
             () = &mut ending, if listener.is_some() => listener = None,
             accepted = accept(&listener) => match accepted {
                 Ok((stream, caller)) => {
-                    connections.spawn(serve_connection(context.clone(), stream, caller));
+                    if let Some(limited) = CallerLimits::open(&context.caller_limits) {
+                        let context = context.clone();
+                        connections.spawn(serve_connection(context, stream, limited, caller));
+                    }
+                    // The task of a connection that yields closes it.
+                    if context.caller_limits.is_full() {
+                        task::yield_now().await;
+                    }
                 }
                 Err(error) => {
                     warn!(context.logger, "cannot accept a connection"; "error" => %error);
@@ -81,14 +86,20 @@
     }
 }
 
-async fn serve_connection(context: Context, stream: TcpStream, caller: SocketAddr) {
+async fn serve_connection(
+    context: Context,
+    stream: TcpStream,
+    limited: Caller,
+    caller: SocketAddr,
+) {
     if stream.set_nodelay(true).is_err() {
         return;
     }
     let limits = limits(&context.dispatcher());
     let mut closing = shutdown::wait_until(Phase::Closing, context.phase.clone());
-    let stream = CallerStream::new(stream, Arc::clone(&context.open_requests));
+    let stream = CallerStream::new(stream, limited, Arc::clone(&context.open_requests));
     let opener = stream.opener();
+    let yielding = stream.closing();
     let service = {
         let opener = opener.clone();
         hyper::service::service_fn(move |request| {
@@ -100,17 +111,21 @@
         .header_read_timeout(limits.idle_timeout * HEADER_READ_TIMEOUT_FACTOR)
         .max_buf_size(limits.max_header_bytes.max(8 * 1024))
         .serve_connection(stream, service);
-    tokio::pin!(connection);
+    tokio::pin!(connection, yielding);
     tokio::select! {
         // Fails if the caller disconnects or sends an invalid request.
         _ = connection.as_mut() => return,
+        () = &mut yielding => return,
         () = &mut closing => {}
     }
     // The request of a new connection is under way, and is refused with an answer.
     if opener.had_request() {
         connection.as_mut().graceful_shutdown();
     }
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        () = &mut yielding => {}
+    }
 }
 
 fn limits(dispatcher: &Dispatcher) -> Limits {
@@ -127,6 +142,9 @@
     state.put(context.clone());
     state.put(open_request);
     let mut response = gotham::service::call_handler(Forward, AssertUnwindSafe(state)).await?;
+    if response.headers().contains_key(CONNECTION) {
+        return Ok(response);
+    }
     if context.phase() == Phase::Serving {
         let grace = context.dispatcher().settings.bounds.grace;
         let idle_time = shutdown::keep_alive_time(grace);
@@ -209,12 +227,17 @@
         }
     };
     let arrived_at = context.now();
-    let body = match read_body(context, body, request.time_left).await {
+    let connection = open_request.connection();
+    if let Some(connection) = &connection {
+        set_organisation(context, connection, &request);
+    }
+    let limits = limits(&context.dispatcher());
+    let body = match request_body::read(connection, body, limits, request.time_left).await {
         Ok(body) => body,
-        Err((status, reason)) => {
+        Err(error) => {
             info!(context.logger, "request body not read";
-                "request" => &request.attempt_id, "reason" => reason);
-            return error_response(status, None, reason);
+                "request" => &request.attempt_id, "reason" => %error);
+            return unread_response(open_request, error);
         }
     };
     open_request.set_stage(Stage::Running);
@@ -293,28 +316,22 @@
     response
 }
 
-async fn read_body(
-    context: &Context,
-    body: Body,
-    time_left: Option<Duration>,
-) -> Result<Bytes, (StatusCode, &'static str)> {
-    let (limits, body_memory_bytes) = {
-        let dispatcher = context.dispatcher();
-        (limits(&dispatcher), dispatcher.settings.memory_bytes / BODY_MEMORY_DIVISOR)
-    };
-    if context.body_bytes.load(Ordering::Relaxed) as u64 > body_memory_bytes {
-        return Err((StatusCode::SERVICE_UNAVAILABLE, "request bodies take too much memory"));
-    }
-    let body_timeout = time_left.unwrap_or(limits.idle_timeout).min(limits.idle_timeout);
-    let reading = Limited::new(body, limits.max_body_bytes).collect();
-    match time::timeout(body_timeout, reading).await {
-        Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err((StatusCode::PAYLOAD_TOO_LARGE, "the body is too long"))
-        }
-        Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "the body broke off")),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+/// Counts what a request holds towards its organisation, if its key names one.
+fn set_organisation(context: &Context, connection: &ConnectionState, request: &Request) {
+    let release = context.dispatcher().release().cloned();
+    let known = release.as_ref().zip(request.key.as_ref());
+    let organisation = known.and_then(|(release, key)| release.organisation_of(key));
+    connection.caller.set_organisation(organisation.map_or("", |known| &known.name));
+}
+
+/// Answer to a request whose body has not been read to its end; its connection is closed.
+fn unread_response(open_request: &OpenRequest, error: BodyError) -> Response<Body> {
+    if let Some(connection) = open_request.connection() {
+        connection.on_unread_body();
     }
+    let mut response = error_response(error.status(), error.retry_after(), &error.to_string());
+    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    response
 }
 
 /// Logs the organisation whose quota is spent. The answer to the caller does not name it.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! ```
 
 mod answer_buffer;
+mod caller_limits;
 pub mod clock;
 mod context;
 mod duties;
@@ -29,6 +30,7 @@
 mod relay;
 mod release_record;
 mod reporter;
+mod request_body;
 pub mod run;
 mod server;
 mod shutdown;
--- a/gateway/src/open_requests.rs
+++ b/gateway/src/open_requests.rs
@@ -5,14 +5,26 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::Bytes;
+use forwarding::caller_connections;
 use gotham::helpers::http::Body;
 use gotham::state::StateData;
-use hyper::body::{Frame, SizeHint};
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::body::{Body as _, Frame, SizeHint};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
+use tokio::time::{self, Sleep};
+
+use crate::caller_limits::Caller;
+
+/// Maximum time for which a connection is kept after the refusal of a body that has not been read.
+/// Closing it with unread bytes could take the refusal from the caller.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
+/// Maximum length of what is read and dropped in that time, in bytes.
+const MAX_LINGER_BYTES: usize = 1024 * 1024;
 
 /// Progress of an open request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,15 +79,23 @@
 pub(crate) struct OpenRequest {
     counters: Arc<Counters>,
     stage: Stage,
+    answer_bytes: usize,
     connection: Weak<ConnectionState>,
 }
 
 impl StateData for OpenRequest {}
 
 /// State that a connection shares with its requests.
-#[derive(Debug, Default)]
-struct ConnectionState {
+#[derive(Debug)]
+pub(crate) struct ConnectionState {
+    pub(crate) caller: Caller,
     had_request: AtomicBool,
+    /// Whether a body was refused before its end.
+    has_unread_body: AtomicBool,
+    /// Number of open requests. A pipelined one may be open before the previous answer is written.
+    open_requests: AtomicUsize,
+    /// Length of the complete answers that are not written yet.
+    answer_bytes: AtomicUsize,
     /// Requests whose answers are encoded but not written yet.
     unwritten: Mutex<Vec<OpenRequest>>,
 }
@@ -85,15 +105,30 @@
         self.stage
     }
 
+    /// Connection of the request; `None` if it is closed.
+    pub(crate) fn connection(&self) -> Option<Arc<ConnectionState>> {
+        self.connection.upgrade()
+    }
+
     pub(crate) fn set_stage(&mut self, stage: Stage) {
         self.counters.stage(self.stage).fetch_sub(1, Ordering::Relaxed);
         self.counters.stage(stage).fetch_add(1, Ordering::Relaxed);
         self.stage = stage;
+        if stage == Stage::Running
+            && let Some(connection) = self.connection()
+        {
+            connection.caller.set_stage(caller_connections::Stage::Running);
+        }
     }
 
     /// Returns the body of the answer, which keeps the request open until the body is written.
     pub(crate) fn answer_with(mut self, body: Body) -> Body {
         self.set_stage(Stage::Answering);
+        if let (Some(bytes), Some(connection)) = (body.size_hint().exact(), self.connection()) {
+            self.answer_bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+            let before = connection.answer_bytes.fetch_add(self.answer_bytes, Ordering::Relaxed);
+            connection.caller.hold_answer(before.saturating_add(self.answer_bytes));
+        }
         Body::new(AnswerBody { body, open_request: Some(self) })
     }
 }
@@ -101,6 +136,11 @@
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.counters.stage(self.stage).fetch_sub(1, Ordering::Relaxed);
+        let Some(connection) = self.connection() else { return };
+        connection.answer_bytes.fetch_sub(self.answer_bytes, Ordering::Relaxed);
+        if connection.open_requests.fetch_sub(1, Ordering::Relaxed) == 1 {
+            connection.caller.set_stage(caller_connections::Stage::Waiting);
+        }
     }
 }
 
@@ -110,6 +150,9 @@
     stream: TokioIo<TcpStream>,
     counters: Arc<Counters>,
     state: Arc<ConnectionState>,
+    /// End of the time after the refusal of a body.
+    linger: Option<Pin<Box<Sleep>>>,
+    lingered_bytes: usize,
 }
 
 /// Opens requests on one connection.
@@ -120,9 +163,43 @@
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, counters: Arc<Counters>) -> CallerStream {
+    pub(crate) fn new(stream: TcpStream, caller: Caller, counters: Arc<Counters>) -> CallerStream {
         counters.connections.fetch_add(1, Ordering::Relaxed);
-        CallerStream { stream: TokioIo::new(stream), counters, state: Arc::default() }
+        let state = ConnectionState {
+            caller,
+            had_request: AtomicBool::new(false),
+            has_unread_body: AtomicBool::new(false),
+            open_requests: AtomicUsize::new(0),
+            answer_bytes: AtomicUsize::new(0),
+            unwritten: Mutex::default(),
+        };
+        CallerStream {
+            stream: TokioIo::new(stream),
+            counters,
+            state: Arc::new(state),
+            linger: None,
+            lingered_bytes: 0,
+        }
+    }
+
+    /// Resolves when the connection has to be closed at once.
+    pub(crate) fn closing(&self) -> impl Future<Output = ()> + use<> {
+        self.state.caller.closing()
+    }
+
+    /// Reads and drops what the caller still sends, for a limited time and length.
+    fn poll_linger(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let linger = self.linger.get_or_insert_with(|| Box::pin(time::sleep(LINGER_TIME)));
+        let mut buffer = [0; 8 * 1024];
+        while linger.as_mut().poll(context).is_pending() && self.lingered_bytes < MAX_LINGER_BYTES {
+            let mut unread = ReadBuf::new(&mut buffer);
+            let reading = Pin::new(&mut self.stream).poll_read(context, unread.unfilled());
+            match (ready!(reading), unread.filled().len()) {
+                (Ok(()), count @ 1..) => self.lingered_bytes += count,
+                _ => break,
+            }
+        }
+        Poll::Ready(())
     }
 
     pub(crate) fn opener(&self) -> Opener {
@@ -137,9 +214,11 @@
         self.counters.stage(stage).fetch_add(1, Ordering::Relaxed);
         if let Some(connection) = self.connection.upgrade() {
             connection.had_request.store(true, Ordering::Relaxed);
+            connection.open_requests.fetch_add(1, Ordering::Relaxed);
+            connection.caller.set_stage(caller_connections::Stage::ReadingBody);
         }
         let (counters, connection) = (Arc::clone(&self.counters), Weak::clone(&self.connection));
-        OpenRequest { counters, stage, connection }
+        OpenRequest { counters, stage, answer_bytes: 0, connection }
     }
 
     /// Whether a request has been opened. A connection without one is new: its request is under way.
@@ -182,7 +261,11 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+        ready!(Pin::new(&mut self.stream).poll_shutdown(context))?;
+        if self.state.has_unread_body.load(Ordering::Relaxed) {
+            ready!(self.poll_linger(context));
+        }
+        Poll::Ready(Ok(()))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -199,6 +282,20 @@
 }
 
 impl ConnectionState {
+    /// Sets the memory of the body that is being read; returns whether there is enough.
+    pub(crate) fn hold(&self, body_bytes: usize) -> bool {
+        self.caller.hold(self.answer_bytes.load(Ordering::Relaxed) + body_bytes)
+    }
+
+    /// Has the connection read on for a short time before it is closed.
+    pub(crate) fn on_unread_body(&self) {
+        self.has_unread_body.store(true, Ordering::Relaxed);
+        // The refusal would wait for earlier answers that the caller may not read.
+        if self.answer_bytes.load(Ordering::Relaxed) > 0 {
+            self.caller.close();
+        }
+    }
+
     fn close_written(&self) {
         // Dropped after the lock, as each request refers to this state.
         let written = std::mem::take(&mut *self.lock_unwritten());
