Rank model requests by priority at their endpoints

Routes and organisations state a priority that was not decoded, so endpoints began waiting requests in the order of arrival: short urgent ones stood behind long prompts. Where routes of one service differ in priority, requests now carry an urgency: organisations rank first, as their priority takes precedence, then routes within them. With the organisation's priority in place of the route's, all requests of an organisation had one rank.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -20,6 +20,7 @@
 use crate::settings::Settings;
 use crate::store_role::{StoreAnswerTimes, StoreRole};
 use crate::suspects::{self, Fingerprint, Suspects};
+use crate::urgency::{Urgencies, Urgency};
 use crate::usage::{self, Usage};
 
 pub use targets::Replacement;
@@ -87,6 +88,8 @@
     pub max_attempts: u32,
     /// Prompt of a model request; `None` for a plain request.
     pub prompt: Option<Prompt>,
+    /// Urgency among the requests that wait at an endpoint; `None` if they are not ranked.
+    pub urgency: Option<Urgency>,
     /// Hash by which repetitions are recognised.
     pub fingerprint: Fingerprint,
     /// Parts of its prompt that other requests may share.
@@ -170,6 +173,8 @@
     pub arrival_meter: ArrivalMeter,
     /// Memory of incomplete answers.
     pub answer_memory: AnswerMemory,
+    /// Ranks of the requests to each service.
+    pub urgencies: Urgencies,
     release: Option<Arc<Release>>,
     retry_budget: RetryBudget,
 }
@@ -191,6 +196,7 @@
             store_answer_times: StoreAnswerTimes::default(),
             arrival_meter: ArrivalMeter::default(),
             answer_memory,
+            urgencies: Urgencies::default(),
             release: None,
             retry_budget: RetryBudget::default(),
         }
@@ -210,6 +216,7 @@
     pub fn on_release(&mut self, release: Release) -> bool {
         let is_newer = self.release.as_ref().is_none_or(|known| known.version < release.version);
         if is_newer {
+            self.urgencies = Urgencies::new(&release);
             self.release = Some(Arc::new(release));
         }
         is_newer
@@ -287,6 +294,7 @@
             gap_target: route.gap_target,
             max_attempts: route.max_attempts.max(1),
             prompt: request.prompt.clone(),
+            urgency: self.urgencies.of_request(service, route, organisation),
             fingerprint,
             shared_parts,
             tried: Vec::new(),
--- a/forwarding/src/lib.rs
+++ b/forwarding/src/lib.rs
@@ -40,4 +40,5 @@
 pub mod settings;
 pub mod store_role;
 pub mod suspects;
+pub mod urgency;
 pub mod usage;
--- a/forwarding/src/release.rs
+++ b/forwarding/src/release.rs
@@ -11,6 +11,9 @@
 /// Index of an organisation in [`Release::organisations`].
 pub type OrganisationIndex = usize;
 
+/// Rank among requests that wait for the same endpoints; 0 is the highest.
+pub type Priority = u32;
+
 /// One version of the operator's configuration.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Release {
@@ -49,6 +52,8 @@
     pub destinations: Vec<Destination>,
     /// Maximum number of endpoints that may run one request.
     pub max_attempts: u32,
+    /// Priority of its requests; `None` if it has none.
+    pub priority: Option<Priority>,
     /// Whether requests need no key.
     pub is_public: bool,
 }
@@ -140,6 +145,8 @@
     pub name: String,
     /// Quota; `None` if unlimited.
     pub quota: Option<Quota>,
+    /// Priority of its requests, which takes precedence over that of routes; `None` if it has none.
+    pub priority: Option<Priority>,
 }
 
 /// Limit on the demand of an organisation.
--- a/forwarding/tests/support/mod.rs
+++ b/forwarding/tests/support/mod.rs
@@ -79,7 +79,7 @@
 pub(crate) fn organisation(name: &str, units_per_s: f64) -> Organisation {
     let unit = Unit::Tokens { unnamed_tokens: 200.0 };
     let quota = Quota { units_per_s, burst_units: units_per_s, unit };
-    Organisation { name: name.to_owned(), quota: Some(quota) }
+    Organisation { name: name.to_owned(), quota: Some(quota), priority: None }
 }
 
 pub(crate) fn route(path_prefix: &str, kind: RouteKind, service: &str) -> Route {
@@ -93,6 +93,7 @@
         gap_target: ms(300),
         destinations: vec![Destination { service: service.to_owned(), weight: 1 }],
         max_attempts: 2,
+        priority: None,
         is_public: false,
     }
 }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -279,6 +279,7 @@
                 "request" => &self.admitted.attempt_id, "route" => &self.admitted.route,
                 "service" => &self.admitted.service, "endpoint" => &current_attempt.target.id,
                 "release" => self.admitted.release_version, "sent" => self.admitted.tried.len(),
+                "urgency" => self.admitted.urgency,
                 "first_byte_ms" => logger::as_ms(latency), "whole_ms" => logger::as_ms(total));
         }
     }
@@ -356,6 +357,7 @@
             organisation: self.admitted.organisation.as_deref(),
             time_left: self.admitted.time_left(now),
             last_event_id: last_event_id.or(self.outgoing.last_event_id),
+            urgency: self.admitted.urgency,
         };
         let mut request = Request::new(Full::new(self.outgoing.body.clone()));
         *request.method_mut() = self.outgoing.method.clone();
