Rank model requests only where urgent prompts are the shorter ones

Requests are now ranked where the mean size of the prompts seen grows from the highest priority to the lowest; elsewhere they carry no urgency, as before.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -216,7 +216,7 @@
     pub fn on_release(&mut self, release: Release) -> bool {
         let is_newer = self.release.as_ref().is_none_or(|known| known.version < release.version);
         if is_newer {
-            self.urgencies = Urgencies::new(&release);
+            self.urgencies.on_release(&release);
             self.release = Some(Arc::new(release));
         }
         is_newer
@@ -279,6 +279,7 @@
         self.retry_budget.on_request(now, &self.settings.bounds, service);
         if let Some(prompt) = &request.prompt {
             self.arrival_meter.on_prompt(now, service, prompt.unshared_tokens());
+            self.urgencies.on_prompt(service, route, prompt.input_tokens);
         }
         let time_left = request.time_left.map_or(route.timeout, |left| left.min(route.timeout));
         Ok(AdmittedRequest {
