--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -24,6 +24,7 @@
 use crate::settings::Settings;
 use crate::store_role::{StoreAnswerTimes, StoreRole};
 use crate::suspects::{self, Fingerprint, Suspects};
+use crate::urgency::{Urgencies, Urgency};
 use crate::usage::{self, Usage};
 
 pub use targets::Replacement;
@@ -91,6 +92,8 @@
     pub max_attempts: u32,
     /// Prompt of a model request; `None` for a plain request.
     pub prompt: Option<Prompt>,
+    /// Urgency among the requests that wait at an endpoint; `None` if they are not ranked.
+    pub urgency: Option<Urgency>,
     /// Hash by which repetitions are recognised.
     pub fingerprint: Fingerprint,
     /// Parts of its prompt that other requests may share.
@@ -180,6 +183,8 @@
     pub residency: Residency,
     /// Roll-outs of versions of the services.
     pub rollouts: Rollouts,
+    /// Ranks of the requests to each service.
+    pub urgencies: Urgencies,
     release: Option<Arc<Release>>,
     retry_budget: RetryBudget,
 }
@@ -205,6 +210,7 @@
             answer_memory,
             residency: Residency::default(),
             rollouts,
+            urgencies: Urgencies::default(),
             release: None,
             retry_budget: RetryBudget::default(),
         }
@@ -224,6 +230,7 @@
     pub fn on_release(&mut self, release: Release) -> bool {
         let is_newer = self.release.as_ref().is_none_or(|known| known.version < release.version);
         if is_newer {
+            self.urgencies.on_release(&release);
             self.release = Some(Arc::new(release));
         }
         is_newer
@@ -289,6 +296,7 @@
         self.retry_budget.on_request(now, &self.settings.bounds, service);
         if let Some(prompt) = &request.prompt {
             self.arrival_meter.on_prompt(now, service, prompt.unshared_tokens());
+            self.urgencies.on_prompt(service, route, prompt.input_tokens);
         }
         let time_left = request.time_left.map_or(route.timeout, |left| left.min(route.timeout));
         Ok(AdmittedRequest {
@@ -304,6 +312,7 @@
             gap_target: route.gap_target,
             max_attempts: route.max_attempts.max(1),
             prompt: request.prompt.clone(),
+            urgency: self.urgencies.of_request(service, route, organisation),
             fingerprint,
             shared_parts,
             tried: Vec::new(),
