Add quota refill with contact, and admit clumps within the window's room

Until the liveness timeout silent gateways counted as live, so both sides of a cut refilled the whole balance, and a new process began with a full one. On the other hand a clump at one of many gateways was refused for its small share, and refunds were not taken back at the other gateways.

A gateway now refills its own part of the rate, and the part of another with that one's report. A new process takes over the others' standing. Clumps may use the balance and an overdraft while the window has room. Refunds lower the spending that is reported.

quota.rs: PeerDemand in the existing test takes the time of contact.

--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -12,7 +12,7 @@
 use crate::endpoints::{EndpointId, Load};
 use crate::prompt_speed::PromptSamples;
 use crate::prompt_suspects::{PartBreak, PartHash, PartHistory};
-use crate::quota::PeerDemand;
+use crate::quota::{PeerDemand, Standing};
 use crate::report_schedule::{self, Schedule};
 use crate::suspects::{Fingerprint, RequestHistory};
 use crate::usage::Source;
@@ -21,6 +21,16 @@
 /// process restart and the window in which quotas are counted.
 const MEMBERSHIP_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Minimum time without reports after which a gateway counts as silent for quotas; covers one lost
+/// report.
+const MIN_QUOTA_SILENCE: Duration = Duration::from_millis(450);
+
+/// Intervals without reports for the same purpose.
+const QUOTA_SILENCE_INTERVALS: f64 = 2.5;
+
+/// Time for which quota standings are reported after a gateway was heard for the first time.
+const NEWCOMER_TIME: Duration = Duration::from_secs(2);
+
 /// Minimum clock difference that is treated as a clock step rather than as delay and drift.
 const CLOCK_STEP_MS: u64 = 300;
 
@@ -29,6 +39,8 @@
 struct Peer {
     address: SocketAddr,
     heard_at: Duration,
+    /// Time of its last complete report, or of its first one.
+    complete_at: Duration,
     /// Its wall clock minus ours, including the transit time of the report.
     clock_offset_ms: i64,
     report: gossip::Report,
@@ -44,6 +56,13 @@
         now < self.heard_at + report_schedule::liveness_timeout(interval)
     }
 
+    /// Whether the gateway has been silent for so long that it may be cut off.
+    fn is_silent(&self, now: Duration) -> bool {
+        let interval = Duration::from_millis(self.report.interval_ms.into());
+        let silence = interval.mul_f64(QUOTA_SILENCE_INTERVALS).max(MIN_QUOTA_SILENCE);
+        now >= self.heard_at + silence.min(report_schedule::liveness_timeout(interval))
+    }
+
     /// Whether the store answered the gateway within the last `freshness`, judging by its last
     /// report.
     fn is_fresh(&self, now: Duration, freshness: Duration) -> bool {
@@ -75,8 +94,12 @@
 pub struct Peers {
     peers: BTreeMap<String, Peer>,
     addresses: BTreeMap<SocketAddr, KnownAddress>,
-    /// Quota units that the other gateways were seen to spend, by organisation.
-    spent_units: HashMap<String, u64>,
+    /// Quota units that the other gateways were seen to spend less refunds, by organisation.
+    spent_units: HashMap<String, i64>,
+    /// Total of the times, over all other gateways, for which their spending is known.
+    contact: Duration,
+    /// Time of the first report of the latest gateway that started.
+    newcomer_at: Option<Duration>,
 }
 
 impl Peers {
@@ -115,35 +138,52 @@
     ) -> bool {
         let data_centre = (!report.data_centre.is_empty()).then(|| report.data_centre.clone());
         self.addresses.insert(from, KnownAddress { heard_at: now, data_centre });
+        let mut is_partial = report.is_brief;
         if let Some(known) = self.peers.get_mut(&report.name) {
             let is_same_start = known.report.incarnation == report.incarnation;
             if is_same_start && known.report.sequence >= report.sequence {
                 return false;
             }
             if is_same_start && report.is_brief && !known.report.is_brief {
+                is_partial = true;
                 complete_brief(&mut report, known, now);
             }
         }
-        self.add_spending(&report);
+        self.add_spending(now, &report);
+        let known = self.peers.get(&report.name);
+        let known = known.filter(|known| known.report.incarnation == report.incarnation);
+        if known.is_none() {
+            self.newcomer_at = Some(now);
+        }
+        let complete_at = match known {
+            Some(known) if is_partial => known.complete_at,
+            _ => now,
+        };
         let clock_offset_ms = (report.wall_ms as i64).saturating_sub(unix_time.as_millis() as i64);
-        let peer = Peer { address: from, heard_at: now, clock_offset_ms, report };
+        let peer = Peer { address: from, heard_at: now, complete_at, clock_offset_ms, report };
         self.peers.insert(peer.report.name.clone(), peer);
         true
     }
 
     /// Adds what a gateway spent since its last report. Nothing is added for a gateway that was not
     /// known, or by brief reports only, as it is unclear how much of its spending is recent.
-    fn add_spending(&mut self, report: &gossip::Report) {
+    fn add_spending(&mut self, now: Duration, report: &gossip::Report) {
         let Some(known) = self.peers.get(&report.name) else { return };
         if known.report.is_brief {
             return;
         }
         let is_same_start = known.report.incarnation == report.incarnation;
+        // A gateway that started anew was not there to spend for some of the time.
+        if is_same_start {
+            let seen = now.saturating_sub(known.complete_at).min(MEMBERSHIP_TIMEOUT);
+            self.contact = self.contact.saturating_add(seen);
+        }
         for demand in &report.demands {
             let reported = known.report.demands.iter().filter(|_| is_same_start);
             let reported = reported.filter(|each| each.organisation == demand.organisation);
             let reported = reported.map(|each| each.spent_units).fold(0, u64::saturating_add);
-            let spent = demand.spent_units.saturating_sub(reported);
+            // Less than was reported before if requests were refunded.
+            let spent = signed(demand.spent_units).saturating_sub(signed(reported));
             let total = self.spent_units.entry(demand.organisation.clone()).or_default();
             *total = total.saturating_add(spent);
         }
@@ -246,19 +286,36 @@
     /// Total demand and spending on each organisation's quota.
     pub fn demands(&self, now: Duration) -> HashMap<String, PeerDemand> {
         let gateways = self.gateway_count(now);
-        let live_gateways = self.live_gateway_count(now);
+        let heard = self.peers.values().filter(|peer| !peer.is_silent(now));
+        let unseen = heard.clone().map(|peer| now.saturating_sub(peer.complete_at));
+        let unseen = unseen.fold(Duration::ZERO, Duration::saturating_add) / gateways;
+        let live_gateways = heard.clone().count() as u32 + 1;
+        let mut standings = mean_standings(heard);
+        let silent = self.peers.values().filter(|peer| peer.is_silent(now));
+        let silence = silent.map(|peer| now.saturating_sub(peer.heard_at)).min();
         let mut demands: HashMap<String, PeerDemand> = HashMap::new();
         for each in self.peers.values().flat_map(|peer| &peer.report.demands) {
             let demand = demands.entry(each.organisation.clone()).or_default();
             let spent_units = self.spent_units.get(&each.organisation).copied();
             demand.units_per_s += each.units_per_s as f64;
             demand.spent_units = spent_units.unwrap_or_default() as f64;
+            demand.contact = self.contact;
+            demand.unseen = unseen;
+            demand.silence = silence.unwrap_or_default();
+            if let Some(standing) = standings.remove(&each.organisation) {
+                demand.standing = Some(standing);
+            }
             demand.gateways = gateways;
             demand.live_gateways = live_gateways.min(gateways);
         }
         demands
     }
 
+    /// Whether a gateway has just started, which needs the others' quota standings.
+    pub fn has_newcomer(&self, now: Duration) -> bool {
+        self.newcomer_at.is_some_and(|at| now < at + NEWCOMER_TIME)
+    }
+
     /// Total work rates of one service at the live gateways.
     pub fn arrivals(&self, now: Duration, service: &str) -> ArrivalRates {
         let rows = self.live(now).flat_map(|peer| &peer.report.arrivals);
@@ -348,6 +405,7 @@
     report.is_brief = false;
     report.loads = std::mem::take(&mut last.loads);
     report.demands = last.demands.clone();
+    report.standings = std::mem::take(&mut last.standings);
     report.arrivals = std::mem::take(&mut last.arrivals);
     report.suspects = std::mem::take(&mut last.suspects);
     report.prompt_suspects = std::mem::take(&mut last.prompt_suspects);
@@ -366,6 +424,26 @@
     }
 }
 
+/// Means of the quota standings that gateways report, by organisation.
+fn mean_standings<'a>(peers: impl Iterator<Item = &'a Peer>) -> HashMap<String, Standing> {
+    let mut sums: HashMap<String, (Standing, f64)> = HashMap::new();
+    for each in peers.flat_map(|peer| &peer.report.standings) {
+        let (sum, count) = sums.entry(each.organisation.clone()).or_default();
+        sum.balance_units += each.balance_units as f64;
+        sum.window_units += each.window_units as f64;
+        *count += 1.0;
+    }
+    let means = sums.into_iter().map(|(organisation, (sum, count))| {
+        let balance_units = sum.balance_units / count;
+        (organisation, Standing { balance_units, window_units: sum.window_units / count })
+    });
+    means.collect()
+}
+
+fn signed(units: u64) -> i64 {
+    i64::try_from(units).unwrap_or(i64::MAX)
+}
+
 fn decode_samples(samples: &gossip::PromptSamples) -> PromptSamples {
     PromptSamples {
         count: samples.count,
--- a/forwarding/tests/quota.rs
+++ b/forwarding/tests/quota.rs
@@ -84,8 +84,10 @@
             let peers = PeerDemand {
                 units_per_s: others.iter().map(|&other| demands[other]).sum(),
                 spent_units: others.iter().map(|&other| self.spent[other]).sum(),
+                contact: now * others.len() as u32,
                 gateways: self.gateways(),
                 live_gateways: others.len() as u32 + 1,
+                ..PeerDemand::default()
             };
             self.accounts[gateway].on_reports(now, &self.organisation, &peers);
         }
--- a/forwarding/tests/support/mod.rs
+++ b/forwarding/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod fleet_load;
+pub(crate) mod quota_fleet;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
--- a/gateway/src/frontend.rs
+++ b/gateway/src/frontend.rs
@@ -327,7 +327,7 @@
         "request" => &request.attempt_id, "organisation" => &organisation.name,
         "quota" => ?organisation.quota, "release" => release.version,
         "units" => shortage.units, "balance_units" => shortage.balance_units,
-        "share_percent" => shortage.share_percent);
+        "share_percent" => shortage.share_percent, "room_units" => shortage.room_units);
 }
 
 fn origin_form(uri: &Uri) -> Uri {
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -82,6 +82,8 @@
             }
             () = time::sleep_until(apply_at) => {
                 context.dispatcher().on_peer_reports(context.now());
+                let clump_requests = context.dispatcher().accounts.clump_requests();
+                metrics::counter!("gateway_quota_clump_requests").absolute(clump_requests);
                 log_refused_parts(&context, &mut refused_parts);
                 remove_expired_connections(&context);
                 let interval = reporter::schedule(&context.dispatcher()).duties.mul_f64(APPLY_INTERVAL_SHARE);
@@ -191,6 +193,13 @@
             units_per_s: units_per_s as u64,
             spent_units: spent as u64,
         });
+    let standings =
+        dispatcher.accounts.standings(now).filter(|_| dispatcher.peers.has_newcomer(now));
+    let standings = standings.map(|(organisation, standing)| gossip::QuotaStanding {
+        organisation: organisation.to_owned(),
+        balance_units: standing.balance_units as i64,
+        window_units: standing.window_units as u64,
+    });
     let departures = dispatcher.endpoints.recent_departures(now, DEPARTURE_REPORT_TIME);
     let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u32;
     let suspects = dispatcher.suspects.to_report().into_iter().map(|(fingerprint, seen)| {
@@ -234,6 +243,7 @@
         store_age_ms: store_age.map_or(u32::MAX, |age| age.as_millis() as u32),
         suspects,
         prompt_suspects,
+        standings: standings.collect(),
         interval_ms: 0,
         data_centre: dispatcher.settings.data_centre.clone(),
         is_brief: false,
--- a/gateway/src/reporter.rs
+++ b/gateway/src/reporter.rs
@@ -126,6 +126,7 @@
                 arrivals: Vec::new(),
                 suspects: Vec::new(),
                 prompt_suspects: Vec::new(),
+                standings: Vec::new(),
                 is_brief: true,
                 interval_ms: stated(schedule.brief),
                 ..full
