--- a/gateway/src/reporter.rs
+++ b/gateway/src/reporter.rs
@@ -127,6 +127,7 @@
                 suspects: Vec::new(),
                 prompt_suspects: Vec::new(),
                 held_parts: Vec::new(),
+                standings: Vec::new(),
                 is_brief: true,
                 interval_ms: stated(schedule.brief),
                 ..full
