Report prompt parts within bounds, and only while the endpoint answers

Review of the part found, by reading: changes of held parts in a report had no limit; a gateway reported an endpoint as listened to though its calls failed; a gateway that heard only changes took parts in use all the time for missing; a cut-off one listened to all endpoints; reports of a former listener overwrote newer knowledge; each failed call led to a new list.

--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -10,7 +10,7 @@
 
 use crate::answer_memory::AnswerMemory;
 use crate::arrivals::{ArrivalMeter, ArrivalRates};
-use crate::endpoints::{EndpointId, EndpointTable};
+use crate::endpoints::{Endpoint, EndpointId, EndpointTable};
 use crate::peers::Peers;
 use crate::prompt_suspects::{PromptSuspects, SharedParts};
 use crate::quota::{self, Accounts};
@@ -35,6 +35,10 @@
 /// Time for which connections to an endpoint are not reused after it sent stray bytes.
 const NO_REUSE_PAUSE: Duration = Duration::from_secs(10);
 
+/// Maximum number of endpoints that one gateway listens to. A gateway that hears no other one would
+/// listen to all endpoints of its data centre.
+const MAX_LISTENED_ENDPOINTS: usize = 8;
+
 /// Why an attempt at an endpoint failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Outcome {
@@ -490,19 +494,18 @@
         self.arrival_meter.rates(now, service).plus(self.peers.arrivals(now, service))
     }
 
-    /// Endpoints whose held parts this gateway asks for, with their addresses: those of its data
-    /// centre for which it is the listener, unless they requested a wait.
-    pub fn listened_endpoints(&self, now: Duration) -> Vec<(EndpointId, SocketAddr)> {
+    /// Endpoints whose held parts this gateway asks for: those of its data centre for which it is the
+    /// listener, up to a maximum.
+    pub fn listened_endpoints(&self, now: Duration) -> Vec<&Endpoint> {
         let Settings { name, data_centre, .. } = &self.settings;
         let services = self.release.iter().flat_map(|release| &release.services);
         let services = services.filter(|(_, service)| service.prompt_memory.is_some());
         let endpoints = services.flat_map(|(service, _)| self.endpoints.of_service(service));
         let endpoints = endpoints.filter(|endpoint| {
             endpoint.entry.data_centre == *data_centre
-                && self.endpoints.wait_end(now, endpoint).is_none()
                 && self.peers.is_listener(now, name, data_centre, &endpoint.entry.id)
         });
-        endpoints.map(|endpoint| (endpoint.entry.id.clone(), endpoint.entry.address)).collect()
+        endpoints.take(MAX_LISTENED_ENDPOINTS).collect()
     }
 
     /// Applies the latest reports of the other gateways.
--- a/forwarding/src/residency.rs
+++ b/forwarding/src/residency.rs
@@ -17,7 +17,7 @@
 //! assert_eq!(residency.held_tokens("a", &prompt), 500);
 //! ```
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use crate::endpoints::EndpointId;
@@ -29,12 +29,19 @@
 /// Number of an endpoint's start, as it states it with its parts.
 pub type Epoch = u64;
 
-/// Time without news after which what is known of an endpoint no longer counts as complete.
-const KNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Time without news after which nothing is known of an endpoint. It covers two lost reports between
+/// data centres of a fleet of hundreds.
+const KNOWLEDGE_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// Time after which a gateway that hears changes only has heard of most parts in use.
+/// Time after which the reports on an endpoint have told all parts that it holds.
 const LEARNING_TIME: Duration = Duration::from_secs(10);
 
+/// Time after an answer of an endpoint for which this gateway reports what it holds.
+const LISTENED_TIME: Duration = Duration::from_secs(3);
+
+/// Maximum number of parts that are remembered of one endpoint.
+const MAX_PARTS: usize = 4_096;
+
 /// Fraction of the displaced tokens that counts as read again: the endpoint drops the parts first
 /// that were not used for longest.
 const DISPLACED_SHARE: f64 = 0.25;
@@ -62,11 +69,13 @@
 #[derive(Debug, Clone)]
 struct EndpointParts {
     epoch: Epoch,
-    tokens: HashMap<PartId, u32>,
+    tokens: BTreeMap<PartId, u32>,
     total_tokens: u64,
-    /// Time from which on every change was heard, as far as is known.
+    /// Time of the first report since which there was no silence.
     known_from: Duration,
     heard_at: Duration,
+    /// Time of the last answer of the endpoint itself, which told all that it holds.
+    listened_at: Option<Duration>,
 }
 
 /// Change of what an endpoint holds, for reports.
@@ -92,14 +101,18 @@
     fn new(epoch: Epoch, known_from: Duration) -> EndpointParts {
         EndpointParts {
             epoch,
-            tokens: HashMap::new(),
+            tokens: BTreeMap::new(),
             total_tokens: 0,
             known_from,
             heard_at: known_from,
+            listened_at: None,
         }
     }
 
     fn set(&mut self, held: Held) {
+        if self.tokens.len() >= MAX_PARTS && !self.tokens.contains_key(&held.part) {
+            return;
+        }
         let previous = match held.tokens {
             0 => self.tokens.remove(&held.part),
             tokens => self.tokens.insert(held.part, tokens),
@@ -108,6 +121,14 @@
         self.total_tokens = tokens.saturating_sub(previous.unwrap_or_default().into());
     }
 
+    fn is_listened(&self, now: Duration) -> bool {
+        self.listened_at.is_some_and(|at| now < at + LISTENED_TIME)
+    }
+
+    fn is_complete(&self, now: Duration) -> bool {
+        self.listened_at.is_some() || now >= self.known_from + LEARNING_TIME
+    }
+
     fn held_tokens(&self, parts: &[PromptPart]) -> u64 {
         let mut sum = 0;
         for part in parts {
@@ -124,9 +145,8 @@
 impl Residency {
     /// Takes a complete list of the parts that an endpoint holds.
     pub fn on_listing(&mut self, now: Duration, endpoint: &str, epoch: Epoch, held: Vec<Held>) {
-        // A complete list leaves nothing to learn.
-        let mut parts = EndpointParts::new(epoch, now.saturating_sub(LEARNING_TIME));
-        parts.heard_at = now;
+        let mut parts = EndpointParts::new(epoch, now);
+        parts.listened_at = Some(now);
         let known = self.endpoints.remove(endpoint).filter(|known| known.epoch == epoch);
         let known = known.map(|known| known.tokens).unwrap_or_default();
         held.iter().for_each(|&each| parts.set(each));
@@ -140,8 +160,8 @@
         self.endpoints.insert(endpoint.to_owned(), parts);
     }
 
-    /// Takes the changes since the last call from an endpoint itself, in order. They are also
-    /// reported to the other gateways.
+    /// Takes the changes since the last call from an endpoint itself, in order, after a complete
+    /// list. They are also reported to the other gateways.
     pub fn on_changes(&mut self, now: Duration, endpoint: &str, epoch: Epoch, changes: &[Held]) {
         for &held in changes {
             let endpoint = endpoint.to_owned();
@@ -149,24 +169,27 @@
         }
         let parts = self.parts(now, endpoint, epoch);
         parts.heard_at = now;
+        parts.listened_at = Some(now);
         changes.iter().for_each(|&each| parts.set(each));
     }
 
-    /// Takes changes that another gateway reports; an endpoint without changes is reported to show
-    /// that it is listened to.
-    pub fn on_reported(&mut self, now: Duration, endpoint: &str, epoch: Epoch, changes: &[Held]) {
+    /// Takes parts that another gateway reports; an endpoint without any is reported to show that it
+    /// is listened to. Reports on an endpoint that this gateway listens to itself are ignored.
+    pub fn on_reported(&mut self, now: Duration, endpoint: &str, epoch: Epoch, held: &[Held]) {
         self.forget_silent(now, endpoint);
+        if self.endpoints.get(endpoint).is_some_and(|parts| parts.is_listened(now)) {
+            return;
+        }
         let parts = self.parts(now, endpoint, epoch);
         parts.heard_at = now;
-        changes.iter().for_each(|&each| parts.set(each));
+        held.iter().for_each(|&each| parts.set(each));
     }
 
     fn parts(&mut self, now: Duration, endpoint: &str, epoch: Epoch) -> &mut EndpointParts {
         let parts = self.endpoints.entry(endpoint.to_owned());
         let parts = parts.or_insert_with(|| EndpointParts::new(epoch, now));
         if parts.epoch != epoch {
-            // A restarted endpoint holds nothing but what it reports from now on.
-            *parts = EndpointParts::new(epoch, now.saturating_sub(LEARNING_TIME));
+            *parts = EndpointParts::new(epoch, now);
         }
         parts
     }
@@ -179,15 +202,30 @@
         }
     }
 
-    /// Changes heard from endpoints within the last `window`, for reports.
+    /// Endpoints that answered this gateway recently, with their epochs, for reports.
+    pub fn listened(&self, now: Duration) -> impl Iterator<Item = (&EndpointId, Epoch)> {
+        let listened = self.endpoints.iter().filter(move |(_, parts)| parts.is_listened(now));
+        listened.map(|(endpoint, parts)| (endpoint, parts.epoch))
+    }
+
+    /// Last change of each part within the last `window`, oldest first, for reports.
     pub fn recent_changes(&self, now: Duration, window: Duration) -> Vec<&HeldChange> {
-        let recent = self.changes.iter().filter(|(at, _)| now < *at + window);
-        recent.map(|(_, change)| change).collect()
+        let recent = self.changes.iter().rev().take_while(|(at, _)| now < *at + window);
+        let mut seen = HashSet::new();
+        let last = recent.map(|(_, change)| change);
+        let last = last.filter(|change| seen.insert((&change.endpoint, change.held.part)));
+        let mut last: Vec<&HeldChange> = last.collect();
+        last.reverse();
+        last
     }
 
-    /// Epoch of an endpoint whose parts are known.
-    pub fn epoch(&self, endpoint: &str) -> Option<Epoch> {
-        self.endpoints.get(endpoint).map(|parts| parts.epoch)
+    /// `count` of the parts that an endpoint holds, the next ones for each `sequence`, so that
+    /// consecutive reports tell all of them.
+    pub fn slice(&self, endpoint: &str, sequence: u64, count: usize) -> Vec<Held> {
+        let Some(parts) = self.endpoints.get(endpoint) else { return Vec::new() };
+        let held = parts.tokens.iter().map(|(&part, &tokens)| Held { part, tokens });
+        let slices = (parts.tokens.len().div_ceil(count.max(1)) as u64).max(1);
+        held.skip((sequence % slices) as usize * count).take(count).collect()
     }
 
     /// Removes endpoints that are not `known`, and changes older than `window`.
@@ -224,7 +262,7 @@
             capacity_tokens.map_or(0, |capacity| needed_tokens.saturating_sub(capacity));
         Some(Estimate {
             held_tokens,
-            is_complete: now >= parts.known_from + LEARNING_TIME,
+            is_complete: parts.is_complete(now),
             displaced_tokens: displaced.min(missing_tokens) as f64 * DISPLACED_SHARE,
         })
     }
--- a/forwarding/src/selection.rs
+++ b/forwarding/src/selection.rs
@@ -4,8 +4,9 @@
 //! parts cached: one that is known to hold them, or, where that is not known,
 //! one of the first of an order that rendezvous hashing gives each affinity key,
 //! the same at all gateways. Load moves the request to other endpoints, because
-//! waiting for queued prompt tokens takes as long as reading missing ones. A plain request goes to the least loaded endpoint, with a
-//! preference for the own data centre.
+//! waiting for queued prompt tokens takes as long as reading missing ones. A
+//! plain request goes to the least loaded endpoint, with a preference for the own
+//! data centre.
 
 use std::time::Duration;
 
@@ -62,8 +63,8 @@
     pub prompt_memory_tokens: Option<u64>,
 }
 
-/// Selects the endpoint with the lowest cost among those that `is_allowed` accepts, or returns `None`
-/// if none is left to try.
+/// Selects the endpoint with the lowest cost among those that `is_allowed` accepts, or returns
+/// `None` if none is left to try.
 ///
 /// Ejected or refusing endpoints are selected only if no healthy one is left, endpoints that
 /// requested a wait not at all.
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -52,6 +52,12 @@
 /// datagrams may be lost.
 const HELD_REPORT_INTERVALS: u32 = 3;
 
+/// Number of held parts of each endpoint that a report tells beside the changes, ten bytes each.
+const HELD_SLICE_PARTS: usize = 24;
+
+/// Maximum number of changes of held parts in a report, ten bytes each.
+const MAX_HELD_CHANGES: usize = 160;
+
 /// Timeout of a call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -125,7 +131,7 @@
 }
 
 fn on_datagram(context: &Context, from: SocketAddr, datagram: &[u8]) {
-    let report = match gossip::Report::decode(datagram) {
+    let mut report = match gossip::Report::decode(datagram) {
         Ok(report) => report,
         Err(error) => {
             warn!(context.logger, "invalid report"; "from" => %from, "error" => %error);
@@ -157,7 +163,7 @@
     }
     dispatcher.rollouts.on_report(now, &report.rollouts);
     let (name, joined) = (report.name.clone(), report.joined.clone());
-    let held_parts = report.held_parts.clone();
+    let held_parts = std::mem::take(&mut report.held_parts);
     if dispatcher.peers.on_report(now, unix_time, from, report) {
         apply_held_parts(&mut dispatcher, now, &held_parts);
     }
@@ -241,7 +247,7 @@
         }
     });
     let prompt_suspects = prompt_suspects.collect();
-    let held_parts = held_parts(&dispatcher, now);
+    let held_parts = held_parts(&dispatcher, now, sequence);
     let is_reader = dispatcher.store_role.is_reader();
     let store_age = dispatcher.store_answer_times.age(now);
     gossip::Report {
@@ -272,17 +278,24 @@
     }
 }
 
-/// Latest changes of the parts held by the endpoints that this gateway listens to.
-fn held_parts(dispatcher: &Dispatcher, now: Duration) -> Vec<gossip::HeldParts> {
+/// Parts held by the endpoints that this gateway listens to: the latest changes, and some of the
+/// others in turn.
+fn held_parts(dispatcher: &Dispatcher, now: Duration, sequence: u64) -> Vec<gossip::HeldParts> {
+    let residency = &dispatcher.residency;
     let window = reporter::schedule(dispatcher).far * HELD_REPORT_INTERVALS;
-    let mut rows: BTreeMap<EndpointId, gossip::HeldParts> = BTreeMap::new();
-    for (endpoint, _) in dispatcher.listened_endpoints(now) {
-        let Some(epoch) = dispatcher.residency.epoch(&endpoint) else { continue };
-        let (parts, tokens) = (Vec::new(), Vec::new());
-        let row = gossip::HeldParts { endpoint: endpoint.clone(), epoch, parts, tokens };
+    let mut rows: BTreeMap<&EndpointId, gossip::HeldParts> = BTreeMap::new();
+    for (endpoint, epoch) in residency.listened(now) {
+        let slice = residency.slice(endpoint, sequence, HELD_SLICE_PARTS);
+        let row = gossip::HeldParts {
+            endpoint: endpoint.clone(),
+            epoch,
+            parts: slice.iter().map(|held| held.part).collect(),
+            tokens: slice.iter().map(|held| held.tokens).collect(),
+        };
         rows.insert(endpoint, row);
     }
-    for change in dispatcher.residency.recent_changes(now, window) {
+    let changes = residency.recent_changes(now, window);
+    for change in rotate(changes, MAX_HELD_CHANGES, sequence) {
         if let Some(row) = rows.get_mut(&change.endpoint)
             && row.epoch == change.epoch
         {
--- a/gateway/src/residency_watch.rs
+++ b/gateway/src/residency_watch.rs
@@ -13,6 +13,9 @@
 use crate::context::Context;
 use crate::shutdown::Phase;
 
+/// Time after the start by which the reports of the other gateways have come.
+const START_DELAY: Duration = Duration::from_secs(3);
+
 /// Interval of the calls to one endpoint.
 const INTERVAL: Duration = Duration::from_secs(1);
 
@@ -24,30 +27,47 @@
 
 /// Listens to the endpoints that fall to this gateway until the shutdown.
 pub(crate) async fn run(context: Context) {
+    time::sleep(START_DELAY).await;
     let mut listeners: HashMap<EndpointId, (SocketAddr, Listener)> = HashMap::new();
     while context.phase() == Phase::Serving {
         let next_at = time::Instant::now() + INTERVAL;
         let endpoints = tick(&context);
-        listeners.retain(|id, (address, _)| endpoints.contains(&(id.clone(), *address)));
-        for (id, address) in endpoints {
-            let listener = || Listener::new(id.clone(), address, CALL_TIMEOUT);
-            listeners.entry(id.clone()).or_insert_with(|| (address, listener()));
+        listeners.retain(|id, (address, _)| {
+            endpoints.get(id).is_some_and(|endpoint| endpoint.address == *address)
+        });
+        for (id, endpoint) in &endpoints {
+            let address = endpoint.address;
+            let listener = || (address, Listener::new(id.clone(), address, CALL_TIMEOUT));
+            listeners.entry(id.clone()).or_insert_with(listener);
         }
         metrics::gauge!("gateway_listened_endpoints").set(listeners.len() as f64);
-        let calls = listeners.iter_mut().map(|(id, (_, listener))| listen(&context, id, listener));
+        let due = listeners.iter_mut().filter(|(id, _)| endpoints[*id].may_be_called);
+        let calls = due.map(|(id, (_, listener))| listen(&context, id, listener));
         future::join_all(calls).await;
         time::sleep_until(next_at).await;
     }
 }
 
+struct ListenedEndpoint {
+    address: SocketAddr,
+    /// Whether it has not requested a wait.
+    may_be_called: bool,
+}
+
 /// Forgets what is no longer needed; returns the endpoints to listen to.
-fn tick(context: &Context) -> Vec<(EndpointId, SocketAddr)> {
+fn tick(context: &Context) -> HashMap<EndpointId, ListenedEndpoint> {
     let now = context.now();
     let mut dispatcher = context.dispatcher();
     let dispatcher = &mut *dispatcher;
     let endpoints = &dispatcher.endpoints;
     dispatcher.residency.tick(now, CHANGE_RETENTION, |id| endpoints.get(id).is_some());
-    dispatcher.listened_endpoints(now)
+    let listened = dispatcher.listened_endpoints(now).into_iter();
+    let listened = listened.map(|endpoint| {
+        let may_be_called = endpoints.wait_end(now, endpoint).is_none();
+        let address = endpoint.entry.address;
+        (endpoint.entry.id.clone(), ListenedEndpoint { address, may_be_called })
+    });
+    listened.collect()
 }
 
 async fn listen(context: &Context, id: &str, listener: &mut Listener) {
