--- a/forwarding/src/dispatcher.rs
+++ b/forwarding/src/dispatcher.rs
@@ -1,5 +1,7 @@
 //! Decisions on one gateway's requests, from admission to the last attempt.
 
+mod listening;
+mod suspicion;
 mod targets;
 
 use std::net::SocketAddr;
@@ -10,7 +12,7 @@
 
 use crate::answer_memory::AnswerMemory;
 use crate::arrivals::{ArrivalMeter, ArrivalRates};
-use crate::endpoints::{Endpoint, EndpointId, EndpointTable};
+use crate::endpoints::{EndpointId, EndpointTable};
 use crate::peers::Peers;
 use crate::prompt_suspects::{PromptSuspects, SharedParts};
 use crate::quota::{self, Accounts};
@@ -35,10 +37,6 @@
 /// Time for which connections to an endpoint are not reused after it sent stray bytes.
 const NO_REUSE_PAUSE: Duration = Duration::from_secs(10);
 
-/// Maximum number of endpoints that one gateway listens to. A gateway that hears no other one would
-/// listen to all endpoints of its data centre.
-const MAX_LISTENED_ENDPOINTS: usize = 8;
-
 /// Why an attempt at an endpoint failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Outcome {
@@ -330,30 +328,6 @@
         })
     }
 
-    /// Fails if a request is known to crash endpoints, by itself or by a part of its prompt.
-    fn check_suspects(
-        &self,
-        now: Duration,
-        request: Fingerprint,
-        parts: &SharedParts,
-    ) -> Result<(), RefusalReason> {
-        if self.suspects.must_refuse(now, request) {
-            return Err(RefusalReason::Suspect);
-        }
-        if self.prompt_suspects.must_refuse(now, parts) {
-            return Err(RefusalReason::SuspectPart);
-        }
-        Ok(())
-    }
-
-    /// Renews the suspicion against a request, and against parts of its prompt.
-    fn on_suspect_refused(&mut self, now: Duration, request: Fingerprint, parts: &SharedParts) {
-        if self.suspects.must_refuse(now, request) {
-            self.suspects.on_refused(now, request);
-        }
-        self.prompt_suspects.on_refused(now, parts);
-    }
-
     /// Records the first byte of an answer or the first event of a stream. `unix_time` is the time
     /// of day.
     pub fn on_first_event(
@@ -494,20 +468,6 @@
         self.arrival_meter.rates(now, service).plus(self.peers.arrivals(now, service))
     }
 
-    /// Endpoints whose held parts this gateway asks for: those of its data centre for which it is the
-    /// listener, up to a maximum.
-    pub fn listened_endpoints(&self, now: Duration) -> Vec<&Endpoint> {
-        let Settings { name, data_centre, .. } = &self.settings;
-        let services = self.release.iter().flat_map(|release| &release.services);
-        let services = services.filter(|(_, service)| service.prompt_memory.is_some());
-        let endpoints = services.flat_map(|(service, _)| self.endpoints.of_service(service));
-        let endpoints = endpoints.filter(|endpoint| {
-            endpoint.entry.data_centre == *data_centre
-                && self.peers.is_listener(now, name, data_centre, &endpoint.entry.id)
-        });
-        endpoints.take(MAX_LISTENED_ENDPOINTS).collect()
-    }
-
     /// Applies the latest reports of the other gateways.
     pub fn on_peer_reports(&mut self, now: Duration) {
         self.peers.tick(now);
--- a/forwarding/src/peers.rs
+++ b/forwarding/src/peers.rs
@@ -1,5 +1,7 @@
 //! State of the other gateways, as they report it.
 
+mod reports;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -11,9 +13,8 @@
 
 use crate::arrivals::ArrivalRates;
 use crate::endpoints::{EndpointId, Load};
-use crate::prompt_speed::PromptSamples;
 use crate::prompt_suspects::{PartBreak, PartHash, PartHistory};
-use crate::quota::{PeerDemand, Standing};
+use crate::quota::PeerDemand;
 use crate::report_schedule::{self, Schedule};
 use crate::rollout::Revision;
 use crate::store_role::StoreEra;
@@ -149,7 +150,7 @@
             }
             if is_same_start && report.is_brief && !known.report.is_brief {
                 is_partial = true;
-                complete_brief(&mut report, known, now);
+                reports::complete_brief(&mut report, known, now);
             }
         }
         self.add_spending(now, &report);
@@ -186,7 +187,8 @@
             let reported = reported.filter(|each| each.organisation == demand.organisation);
             let reported = reported.map(|each| each.spent_units).fold(0, u64::saturating_add);
             // Less than was reported before if requests were refunded.
-            let spent = signed(demand.spent_units).saturating_sub(signed(reported));
+            let spent =
+                reports::signed(demand.spent_units).saturating_sub(reports::signed(reported));
             let total = self.spent_units.entry(demand.organisation.clone()).or_default();
             *total = total.saturating_add(spent);
         }
@@ -309,7 +311,7 @@
         let unseen = heard.clone().map(|peer| now.saturating_sub(peer.complete_at));
         let unseen = unseen.fold(Duration::ZERO, Duration::saturating_add) / gateways;
         let live_gateways = heard.clone().count() as u32 + 1;
-        let mut standings = mean_standings(heard);
+        let mut standings = reports::mean_standings(heard);
         let silent = self.peers.values().filter(|peer| peer.is_silent(now));
         let silence = silent.map(|peer| now.saturating_sub(peer.heard_at)).min();
         let mut demands: HashMap<String, PeerDemand> = HashMap::new();
@@ -345,7 +347,7 @@
             sum.late_first_events_per_s += row.late_milli_per_s as f64 / 1_000.0;
             sum.generating_requests += row.generating_milli as f64 / 1_000.0;
             if let Some(samples) = &row.prompt_samples {
-                sum.prompt_samples = sum.prompt_samples.plus(decode_samples(samples));
+                sum.prompt_samples = sum.prompt_samples.plus(reports::decode_samples(samples));
             }
         }
         sum
@@ -471,61 +473,3 @@
         self.peers.values().filter(move |peer| peer.is_live(now))
     }
 }
-
-/// Takes over what a brief report leaves out from the last complete report of the same gateway.
-fn complete_brief(report: &mut gossip::Report, known: &mut Peer, now: Duration) {
-    let last = &mut known.report;
-    report.is_brief = false;
-    report.loads = std::mem::take(&mut last.loads);
-    report.demands = last.demands.clone();
-    report.standings = std::mem::take(&mut last.standings);
-    report.arrivals = std::mem::take(&mut last.arrivals);
-    report.suspects = std::mem::take(&mut last.suspects);
-    report.prompt_suspects = std::mem::take(&mut last.prompt_suspects);
-    let elapsed_ms = now.saturating_sub(known.heard_at).as_millis() as u32;
-    for suspect in &mut report.suspects {
-        let breaks = suspect.breaks.iter_mut().map(|each| &mut each.age_ms);
-        let ages_ms = breaks.chain(suspect.finished_age_ms.as_mut());
-        for age_ms in ages_ms.chain(suspect.refused_age_ms.as_mut()) {
-            *age_ms = age_ms.saturating_add(elapsed_ms);
-        }
-    }
-    for suspect in &mut report.prompt_suspects {
-        let breaks = suspect.breaks.iter_mut().map(|each| &mut each.age_ms);
-        let ages_ms = breaks.chain(suspect.finished_age_ms.as_mut());
-        for age_ms in ages_ms.chain(suspect.refused_age_ms.as_mut()) {
-            *age_ms = age_ms.saturating_add(elapsed_ms);
-        }
-    }
-}
-
-/// Means of the quota standings that gateways report, by organisation.
-fn mean_standings<'a>(peers: impl Iterator<Item = &'a Peer>) -> HashMap<String, Standing> {
-    let mut sums: HashMap<String, (Standing, f64)> = HashMap::new();
-    for each in peers.flat_map(|peer| &peer.report.standings) {
-        let (sum, count) = sums.entry(each.organisation.clone()).or_default();
-        sum.balance_units += each.balance_units as f64;
-        sum.window_units += each.window_units as f64;
-        *count += 1.0;
-    }
-    let means = sums.into_iter().map(|(organisation, (sum, count))| {
-        let balance_units = sum.balance_units / count;
-        (organisation, Standing { balance_units, window_units: sum.window_units / count })
-    });
-    means.collect()
-}
-
-fn signed(units: u64) -> i64 {
-    i64::try_from(units).unwrap_or(i64::MAX)
-}
-
-fn decode_samples(samples: &gossip::PromptSamples) -> PromptSamples {
-    PromptSamples {
-        count: samples.count,
-        tokens: samples.tokens,
-        latency_s: samples.latency_s,
-        squared_tokens: samples.squared_tokens,
-        squared_latency_s2: samples.squared_latency_s2,
-        tokens_latency_s: samples.tokens_latency_s,
-    }
-}
