--- a/forwarding/src/quota.rs
+++ b/forwarding/src/quota.rs
@@ -43,7 +43,7 @@
 const PLAIN_OVERDRAFT_SHARE: f64 = 0.25;
 
 /// Overdraft for clumps of requests, as a fraction of the burst.
-const CLUMP_OVERDRAFT: f64 = 1.0;
+const CLUMP_OVERDRAFT: f64 = 0.5;
 
 /// Fraction of the slack by which clumps may overdraw the balance in addition.
 const CLUMP_SLACK_SHARE: f64 = 0.25;
