--- a/forwarding/src/scaling.rs
+++ b/forwarding/src/scaling.rs
@@ -8,12 +8,15 @@
 //! Capacity that would be missing after a reclaim in another data centre is
 //! ordered as on-demand replicas where they are cheap.
 
+mod demand;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::arrivals::ArrivalRates;
 use crate::endpoints::Endpoint;
 use crate::release::ScalingPolicy;
+use demand::ServiceDemand;
 
 /// Prompt tokens per second that one replica is assumed to process until its speed is known.
 const DEFAULT_TOKENS_PER_S: f64 = 40_000.0;
@@ -41,42 +44,9 @@
 /// released: a released replica loses its cache, and the demand varies from second to second.
 const SHRINK_MARGIN: f64 = 1.2;
 
-/// Time constant with which a demand peak decays. Ordering a released replica again costs its boot
-/// time, and it starts with an empty cache.
-const PEAK_DECAY: Duration = Duration::from_secs(20);
-
-/// Time for which demand must have been observed before on-demand replicas are released.
-const KNOWN_DEMAND_DELAY: Duration = Duration::from_secs(4);
-
-/// Fraction of late first events above which the plan grows.
-const LATE_SHARE_HIGH: f64 = 0.06;
-
-/// Fraction of late first events below which the plan shrinks back.
-const LATE_SHARE_LOW: f64 = 0.04;
-
 /// Fraction of the initial on-demand replicas that counts as needed until the demand is known.
 const STARTUP_NEEDED_SHARE: f64 = 0.6;
 
-/// Minimum fraction of the initial on-demand replicas that is kept until the demand is known.
-const MIN_STARTUP_SHARE: f64 = 0.4;
-
-/// Time without a new on-demand replica after which all initial ones have appeared: three
-/// heartbeats.
-const STARTUP_QUIET_TIME: Duration = Duration::from_millis(3_600);
-
-/// Average time to process the waiting prompts of a replica above which more replicas help. With
-/// less, late first events have other causes.
-const BACKLOG_TIME: Duration = Duration::from_millis(50);
-
-/// Factor per step by which the plan grows while first events are late.
-const GROWTH_STEP_FACTOR: f64 = 1.25;
-
-/// Maximum factor by which the plan grows.
-const MAX_GROWTH_FACTOR: f64 = 2.5;
-
-/// Interval between two growth steps: the time until an order takes effect.
-const GROWTH_INTERVAL: Duration = Duration::from_secs(4);
-
 /// Fraction of the needed replicas that are on-demand while reclaimable ones are available.
 const ON_DEMAND_SHARE: f64 = 0.2;
 
@@ -138,22 +108,6 @@
     pub report_interval: Duration,
 }
 
-/// Demand on one service.
-#[derive(Debug, Clone, Copy)]
-struct ServiceDemand {
-    updated_at: Duration,
-    /// Last known prompt speed of a replica.
-    tokens_per_s_per_replica: f64,
-    /// Peak of the replicas that the demand takes.
-    peak_replicas: f64,
-    growth_factor: f64,
-    growth_changed_at: Duration,
-    first_request_at: Option<Duration>,
-    /// Most on-demand replicas seen before the demand was known.
-    initial_replicas: u32,
-    initial_replicas_changed_at: Duration,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct PlacedOrder {
     replicas: u32,
@@ -440,74 +394,6 @@
     }
 }
 
-impl ServiceDemand {
-    /// Whether there was demand, or all initial replicas have appeared.
-    fn may_plan_on_demand(&self, now: Duration) -> bool {
-        let have_all_appeared = self.initial_replicas > 0
-            && now >= self.initial_replicas_changed_at + STARTUP_QUIET_TIME;
-        self.first_request_at.is_some() || have_all_appeared
-    }
-
-    /// On-demand replicas that are kept until the demand is known, whatever the plan.
-    fn min_kept_replicas(&self, now: Duration) -> u32 {
-        let share = if self.is_demand_known(now) { 0.0 } else { MIN_STARTUP_SHARE };
-        (f64::from(self.initial_replicas) * share).ceil() as u32
-    }
-
-    /// Whether demand was observed for long enough to release replicas.
-    fn is_demand_known(&self, now: Duration) -> bool {
-        self.first_request_at.is_some_and(|at| now >= at + KNOWN_DEMAND_DELAY)
-    }
-
-    fn update(&mut self, now: Duration, input: &PlanInput<'_>) {
-        let arrivals = &input.arrivals;
-        if let Some(tokens_per_s) = arrivals.prompt_samples.tokens_per_s() {
-            self.tokens_per_s_per_replica = tokens_per_s;
-        }
-        let elapsed = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.updated_at = now;
-        let decayed = self.peak_replicas * (-elapsed / PEAK_DECAY.as_secs_f64()).exp();
-        self.peak_replicas = decayed.max(self.busy_replicas(input));
-        if arrivals.tokens_per_s > 0.0 {
-            self.first_request_at.get_or_insert(now);
-        }
-        if now < self.growth_changed_at + GROWTH_INTERVAL {
-            return;
-        }
-        let late_share = arrivals.late_share();
-        let is_backlogged = self.is_backlogged(input);
-        if late_share > LATE_SHARE_HIGH && is_backlogged {
-            self.growth_factor = (self.growth_factor * GROWTH_STEP_FACTOR).min(MAX_GROWTH_FACTOR);
-            self.growth_changed_at = now;
-        } else if late_share < LATE_SHARE_LOW || !is_backlogged {
-            self.growth_factor = (self.growth_factor / GROWTH_STEP_FACTOR).max(1.0);
-            self.growth_changed_at = now;
-        }
-    }
-
-    /// Replicas that the arriving work takes at the planned utilisation: for its prompts, or for the
-    /// requests in progress.
-    fn busy_replicas(&self, input: &PlanInput<'_>) -> f64 {
-        let for_prompts = input.arrivals.tokens_per_s
-            / self.tokens_per_s_per_replica
-            / prompt_utilisation(input.report_interval);
-        let capacities = input.endpoints.iter().map(|endpoint| f64::from(endpoint.entry.capacity));
-        let capacity: f64 = capacities.sum();
-        if capacity == 0.0 {
-            return for_prompts;
-        }
-        let slots_per_replica = capacity / input.endpoints.len() as f64;
-        for_prompts.max(input.arrivals.requests_in_progress() / usable_slots(slots_per_replica))
-    }
-
-    fn is_backlogged(&self, input: &PlanInput<'_>) -> bool {
-        let waiting_tokens: f64 =
-            input.endpoints.iter().map(|endpoint| endpoint.waiting_tokens() as f64).sum();
-        let tokens_per_s = self.tokens_per_s_per_replica * input.endpoints.len() as f64;
-        waiting_tokens > tokens_per_s * BACKLOG_TIME.as_secs_f64()
-    }
-}
-
 fn count(input: &PlanInput<'_>, is_reclaimable: bool) -> ReplicaCounts {
     let mut counts = ReplicaCounts::new();
     for endpoint in &input.endpoints {
--- a/proofs/src/claim_simulation.rs
+++ b/proofs/src/claim_simulation.rs
@@ -1,127 +1,33 @@
 //! Simulation of at-most-once calls: the claims of a few nodes, over a fake log and a fake plain
 //! service.
 
+mod checks;
+mod network;
+mod options;
+mod report;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use prost::Message;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use rhubarbrock::claim::{self, Action, AppendResult, Claims, Conclusion, DispatchResult};
-use rhubarbrock_schema::log::{ClaimBatch, claim_entry};
+use rhubarbrock::claim::{self, Claims, Conclusion};
 
 use crate::Violation;
-use crate::claim_log::{AppendScenario, Log};
-use crate::claim_service::{CallResult, PlainService};
+use crate::claim_log::Log;
+use crate::claim_service::PlainService;
+use network::NodeMessage;
+
+pub use options::Options;
+pub use report::Report;
 
 const ORGANISATION: &str = "trust";
 const SERVICE: &str = "order-desk";
 const KEY_LIFETIME: Duration = Duration::from_secs(15);
 const DISPATCH_WINDOW: Duration = Duration::from_millis(400);
-/// Maximum delay of an append whose answer is lost.
-const MAX_APPEND_DELAY_MS: u64 = 5_000;
 /// Time without faults at the end, in which every call must be concluded.
 const FAULT_FREE_TIME: Duration = Duration::from_secs(30);
 
-/// Settings of a simulation.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Options {
-    /// Number of nodes.
-    pub nodes: usize,
-    /// Whether the service rejects stale fencing tokens.
-    pub checks_fencing: bool,
-    /// Frequency of faults of nodes, log and service, in percent of the highest rate; 0 for none.
-    pub fault_percent: u32,
-    /// Share of new keys that belong to a sequence, in percent.
-    pub sequence_percent: u32,
-    /// Whether callers always mark the repetition of a key.
-    pub marks_repetitions: bool,
-    /// Time for which the log keeps records.
-    pub log_retention: Duration,
-}
-
-impl Options {
-    /// Two or three nodes with every kind of fault. The seed also decides whether the service
-    /// checks fencing tokens, callers always mark repetitions, and the log keeps records for less
-    /// than the lifetime of a key.
-    pub fn with_faults(seed: u64) -> Options {
-        let has_short_retention = seed % 7 == 3;
-        Options {
-            nodes: 2 + (seed % 2) as usize,
-            checks_fencing: seed.is_multiple_of(4),
-            fault_percent: 100,
-            sequence_percent: if seed.is_multiple_of(3) { 40 } else { 5 },
-            marks_repetitions: has_short_retention || !seed.is_multiple_of(5),
-            log_retention: if has_short_retention { KEY_LIFETIME / 20 } else { KEY_LIFETIME * 3 },
-        }
-    }
-
-    /// Like [`Options::with_faults`], with a hundredth of the fault rate.
-    pub fn with_rare_faults(seed: u64) -> Options {
-        Options { fault_percent: 1, ..Options::with_faults(seed) }
-    }
-
-    /// Three nodes without faults.
-    pub fn without_faults() -> Options {
-        Options {
-            nodes: 3,
-            checks_fencing: false,
-            fault_percent: 0,
-            sequence_percent: 10,
-            marks_repetitions: true,
-            log_retention: KEY_LIFETIME * 3,
-        }
-    }
-}
-
-/// Counts of one run. The conclusions are those reported to callers.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Events drawn, including those that had no effect.
-    pub events: u64,
-    /// Calls started.
-    pub calls: u64,
-    /// Runs at the service.
-    pub runs: u64,
-    /// Calls answered by their own dispatch.
-    pub answered: u64,
-    /// Calls answered with the recorded answer of an earlier call.
-    pub replayed: u64,
-    /// Calls concluded as not run, by reason.
-    pub not_run: BTreeMap<claim::NotRunReason, u64>,
-    /// Calls concluded as in doubt, by reason.
-    pub in_doubt: BTreeMap<claim::InDoubtReason, u64>,
-    /// Calls concluded as in doubt whose key never ran.
-    pub in_doubt_without_run: u64,
-    /// Calls refused because their key belongs to another request.
-    pub mismatches: u64,
-    /// Calls refused because the lifetime of their key is over.
-    pub expired_keys: u64,
-    /// Calls whose node was killed before their conclusion.
-    pub lost_calls: u64,
-}
-
-impl Report {
-    /// Adds another run's counts.
-    pub fn add(&mut self, other: &Report) {
-        self.events += other.events;
-        self.calls += other.calls;
-        self.runs += other.runs;
-        self.answered += other.answered;
-        self.replayed += other.replayed;
-        for (reason, count) in &other.not_run {
-            *self.not_run.entry(*reason).or_default() += count;
-        }
-        for (reason, count) in &other.in_doubt {
-            *self.in_doubt.entry(*reason).or_default() += count;
-        }
-        self.in_doubt_without_run += other.in_doubt_without_run;
-        self.mismatches += other.mismatches;
-        self.expired_keys += other.expired_keys;
-        self.lost_calls += other.lost_calls;
-    }
-}
-
 /// A call as its caller sees it. Call numbers are in order of start.
 #[derive(Debug, Clone)]
 struct CallState {
@@ -156,44 +62,6 @@
     reported_log_down: bool,
 }
 
-/// Message in flight between nodes, log and service.
-enum NodeMessage {
-    Append {
-        node: usize,
-        id: u64,
-        batch: u64,
-        record: Vec<u8>,
-        scenario: AppendScenario,
-        is_applied: bool,
-    },
-    AppendResponse {
-        node: usize,
-        id: u64,
-        batch: u64,
-        result: AppendResult,
-    },
-    Connect {
-        node: usize,
-        id: u64,
-        call: u64,
-        key: String,
-        fencing_token: u64,
-    },
-    Request {
-        node: usize,
-        id: u64,
-        call: u64,
-        key: String,
-        fencing_token: u64,
-    },
-    Response {
-        node: usize,
-        id: u64,
-        call: u64,
-        result: DispatchResult,
-    },
-}
-
 /// State of the nodes, the log, the service and the callers.
 pub struct Simulation {
     seed: u64,
@@ -491,313 +359,6 @@
         self.nodes[node] = self.new_node();
     }
 
-    /// Delivers a random message in flight, if it is due.
-    fn deliver_one(&mut self) {
-        if self.in_flight.is_empty() {
-            return;
-        }
-        let index = self.rng.random_range(0..self.in_flight.len());
-        let (at, message) = &self.in_flight[index];
-        if *at > self.now || self.awaits_paused_node(message) {
-            return;
-        }
-        let (_, message) = self.in_flight.swap_remove(index);
-        self.deliver(message);
-    }
-
-    /// Whether a message cannot be delivered because its node is paused.
-    fn awaits_paused_node(&self, message: &NodeMessage) -> bool {
-        let node = match message {
-            NodeMessage::Append { .. } | NodeMessage::Request { .. } => return false,
-            NodeMessage::AppendResponse { node, .. }
-            | NodeMessage::Connect { node, .. }
-            | NodeMessage::Response { node, .. } => *node,
-        };
-        self.nodes[node].is_paused
-    }
-
-    fn is_current_process(&self, node: usize, id: u64) -> bool {
-        self.nodes[node].id == id
-    }
-
-    fn deliver(&mut self, message: NodeMessage) {
-        match message {
-            NodeMessage::Append { node, id, batch, record, scenario, is_applied } => {
-                self.deliver_append(node, id, batch, record, scenario, is_applied);
-            }
-            NodeMessage::AppendResponse { node, id, batch, result } => {
-                if self.is_current_process(node, id) {
-                    let actions = self.nodes[node].claims.on_append_result(self.now, batch, result);
-                    self.perform(node, actions);
-                }
-            }
-            NodeMessage::Connect { node, id, call, key, fencing_token } => {
-                self.connect(node, id, call, key, fencing_token);
-            }
-            NodeMessage::Request { node, id, call, key, fencing_token } => {
-                self.run_on_service(node, id, call, &key, fencing_token);
-            }
-            NodeMessage::Response { node, id, call, result } => {
-                if self.is_current_process(node, id) {
-                    let actions =
-                        self.nodes[node].claims.on_dispatch_result(self.now, call, result);
-                    self.perform(node, actions);
-                }
-            }
-        }
-    }
-
-    fn deliver_append(
-        &mut self,
-        node: usize,
-        id: u64,
-        batch: u64,
-        record: Vec<u8>,
-        scenario: AppendScenario,
-        is_applied: bool,
-    ) {
-        let result = if is_applied {
-            self.log.append(self.now, record);
-            return;
-        } else if self.log.is_down {
-            AppendResult::Failed
-        } else {
-            match scenario {
-                AppendScenario::Confirmed => AppendResult::At(self.log.append(self.now, record)),
-                AppendScenario::RequestLost => AppendResult::Unknown,
-                AppendScenario::ResponseLost => {
-                    let delay_ms = if self.rng.random_bool(0.5) {
-                        0
-                    } else {
-                        self.rng.random_range(0..MAX_APPEND_DELAY_MS)
-                    };
-                    let at = self.now + Duration::from_millis(delay_ms);
-                    let message =
-                        NodeMessage::Append { node, id, batch, record, scenario, is_applied: true };
-                    self.in_flight.push((at, message));
-                    AppendResult::Unknown
-                }
-            }
-        };
-        let delay = self.draw_delay(30);
-        self.in_flight
-            .push((self.now + delay, NodeMessage::AppendResponse { node, id, batch, result }));
-    }
-
-    /// Connects a node to the service. The node may then still refuse to send the call.
-    fn connect(&mut self, node: usize, id: u64, call: u64, key: String, fencing_token: u64) {
-        if !self.is_current_process(node, id) {
-            return;
-        }
-        if self.draw_fault(1, 20) {
-            let message = NodeMessage::Response { node, id, call, result: DispatchResult::NotSent };
-            self.in_flight.push((self.now, message));
-            return;
-        }
-        if !self.nodes[node].claims.confirm_dispatch(self.now, call) {
-            return;
-        }
-        let sent_at = self.claim_sent_at.get(&(id, key.clone())).copied().unwrap_or_default();
-        if self.now > sent_at + DISPATCH_WINDOW {
-            self.record_violation(format!(
-                "call {call} sent later than {DISPATCH_WINDOW:?} after its claim"
-            ));
-        }
-        if self.call_states.get(&call).is_some_and(|call_state| call_state.conclusion.is_some()) {
-            self.record_violation(format!("call {call} sent after its conclusion"));
-        }
-        if self.draw_fault(1, 10) {
-            let was_refused = self.rng.random_bool(0.5);
-            let result =
-                if was_refused { DispatchResult::NotSent } else { DispatchResult::Unknown };
-            let message = NodeMessage::Response { node, id, call, result };
-            self.in_flight.push((self.now, message));
-            return;
-        }
-        let delay = self.draw_delay(20);
-        self.in_flight
-            .push((self.now + delay, NodeMessage::Request { node, id, call, key, fencing_token }));
-    }
-
-    /// Runs a call at the service.
-    fn run_on_service(&mut self, node: usize, id: u64, call: u64, key: &str, fencing_token: u64) {
-        let result = match self.service.handle_call(key, fencing_token) {
-            CallResult::StaleFencingToken => DispatchResult::FencingTokenRejected,
-            CallResult::Executed(body) => {
-                self.record_run(call, key);
-                let is_response_lost = self.draw_fault(1, 20);
-                if is_response_lost {
-                    DispatchResult::Unknown
-                } else {
-                    let content_type = "text/plain".to_owned();
-                    DispatchResult::Answered { status: 200, content_type, body }
-                }
-            }
-        };
-        let is_slow = self.draw_fault(1, 50);
-        let delay = if is_slow { Duration::from_secs(4) } else { self.draw_delay(40) };
-        self.in_flight.push((self.now + delay, NodeMessage::Response { node, id, call, result }));
-    }
-
-    fn record_run(&mut self, call: u64, key: &str) {
-        self.report.runs += 1;
-        if self.service.run_count(key) > 1 {
-            self.record_violation(format!(
-                "{key} ran {} times, expected at most once",
-                self.service.run_count(key)
-            ));
-        }
-        let key_state = &self.keys[key];
-        if let Some(not_run_call) = key_state.last_not_run_call
-            && (call == not_run_call || (call < not_run_call && !key_state.has_unmarked_repetition))
-        {
-            self.record_violation(format!(
-                "{key} runs by call {call}, but call {not_run_call} was concluded as not run"
-            ));
-        }
-        if let Some(key_state) = self.keys.get_mut(key) {
-            key_state.executed_by = Some(call);
-        }
-        let Some((sequence, position)) = self.keys[key].sequence_position.clone() else { return };
-        let previous = self.last_run_positions.insert(sequence.clone(), position).unwrap_or(0);
-        if position != previous + 1 {
-            self.record_violation(format!(
-                "{sequence}: position {position} ran after position {previous}"
-            ));
-        }
-    }
-
-    fn draw_delay(&mut self, max_ms: u64) -> Duration {
-        if self.draw_fault(1, 30) {
-            return Duration::from_millis(self.rng.random_range(0..max_ms * 30));
-        }
-        Duration::from_millis(self.rng.random_range(0..max_ms))
-    }
-
-    fn perform(&mut self, node: usize, actions: Vec<Action>) {
-        let id = self.nodes[node].id;
-        for action in actions {
-            match action {
-                Action::Append { batch, record } => {
-                    self.record_claims(id, &record);
-                    let scenario = self.draw_append_scenario();
-                    let delay = self.draw_delay(20);
-                    let message = NodeMessage::Append {
-                        node,
-                        id,
-                        batch,
-                        record,
-                        scenario,
-                        is_applied: false,
-                    };
-                    self.in_flight.push((self.now + delay, message));
-                }
-                Action::Dispatch { call, key, fencing_token } => {
-                    let delay = self.draw_delay(10);
-                    let message = NodeMessage::Connect { node, id, call, key, fencing_token };
-                    self.in_flight.push((self.now + delay, message));
-                }
-                Action::Finish { call, conclusion } => self.conclude(call, conclusion),
-            }
-        }
-    }
-
-    fn draw_append_scenario(&mut self) -> AppendScenario {
-        if !self.draw_fault(1, 10) {
-            return AppendScenario::Confirmed;
-        }
-        if self.rng.random_bool(0.5) {
-            AppendScenario::ResponseLost
-        } else {
-            AppendScenario::RequestLost
-        }
-    }
-
-    fn record_claims(&mut self, node: u64, record: &[u8]) {
-        let Ok(batch) = ClaimBatch::decode(record) else {
-            self.record_violation("appended record is not a valid claim batch".to_owned());
-            return;
-        };
-        for entry in batch.entries {
-            if let Some(claim_entry::Body::Claim(claim)) = entry.body {
-                self.claim_sent_at.insert((node, claim.key), self.now);
-            }
-        }
-    }
-
-    /// Records the conclusion of a call and checks it.
-    fn conclude(&mut self, call: u64, conclusion: Conclusion) {
-        let Some(call_state) = self.call_states.get_mut(&call) else {
-            self.record_violation(format!("conclusion of unknown call {call}"));
-            return;
-        };
-        if call_state.conclusion.replace(conclusion.clone()).is_some() {
-            self.record_violation(format!("call {call} has two conclusions"));
-            return;
-        }
-        let key = call_state.key.clone();
-        let body = call_state.body;
-        self.unconcluded.remove(&call);
-        match conclusion {
-            Conclusion::Answered { answer, is_replay } => {
-                self.on_answered(call, &key, answer, is_replay)
-            }
-            Conclusion::NotRun { reason, .. } => self.on_not_run(call, &key, reason),
-            Conclusion::InDoubt { reason } => {
-                *self.report.in_doubt.entry(reason).or_default() += 1;
-            }
-            Conclusion::Mismatch => {
-                self.report.mismatches += 1;
-                if self.keys[&key].bodies.iter().all(|other| *other == body) {
-                    self.record_violation(format!(
-                        "{key} refused as used by another request, but all its requests are equal"
-                    ));
-                }
-            }
-            Conclusion::KeyExpired => {
-                self.report.expired_keys += 1;
-                if self.now < self.keys[&key].first_used_at + KEY_LIFETIME {
-                    self.record_violation(format!("{key} refused as expired within its lifetime"));
-                }
-            }
-        }
-    }
-
-    fn on_answered(&mut self, call: u64, key: &str, answer: claim::Answer, is_replay: bool) {
-        let counter = if is_replay { &mut self.report.replayed } else { &mut self.report.answered };
-        *counter += 1;
-        match self.keys[key].executed_by {
-            None => self.record_violation(format!("{key} answered, but it never ran")),
-            Some(executed_by)
-                if self.call_states[&executed_by].body != self.call_states[&call].body =>
-            {
-                self.record_violation(format!("call {call} got the answer to another request"));
-            }
-            Some(_) => {}
-        }
-        if let Some(key_state) = self.keys.get_mut(key) {
-            let first = key_state.answer.get_or_insert_with(|| answer.clone());
-            if *first != answer {
-                self.record_violation(format!("{key} has two different answers"));
-            }
-        }
-    }
-
-    /// Checks that neither this call nor an earlier one with the key has run. Later runs of them
-    /// are checked in `record_run`.
-    fn on_not_run(&mut self, call: u64, key: &str, reason: claim::NotRunReason) {
-        *self.report.not_run.entry(reason).or_default() += 1;
-        let Some(key_state) = self.keys.get_mut(key) else { return };
-        key_state.last_not_run_call = key_state.last_not_run_call.max(Some(call));
-        if let Some(executed_by) = key_state.executed_by
-            && (executed_by == call || (executed_by < call && !key_state.has_unmarked_repetition))
-        {
-            self.record_violation(format!(
-                "{key}: call {call} concluded as not run, but call {executed_by} ran"
-            ));
-        }
-    }
-
     /// Runs without faults, after which every call must be concluded.
     fn run_without_faults(&mut self) -> Result<(), Violation> {
         self.options.fault_percent = 0;
@@ -828,43 +389,6 @@
             self.tick(node);
         }
     }
-
-    fn deliver_due(&mut self) {
-        let now = self.now;
-        let (due, later): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.in_flight).into_iter().partition(|(at, _)| *at <= now);
-        self.in_flight = later;
-        for (_, message) in due {
-            self.deliver(message);
-        }
-    }
-
-    fn check_quiescent(&mut self) {
-        for node in 0..self.nodes.len() {
-            let claims = &self.nodes[node].claims;
-            if claims.waiting_calls() > 0 || claims.pending_outcomes() > 0 {
-                let description = format!(
-                    "node {node} still has calls or outcomes pending: {:?}",
-                    claims.counters()
-                );
-                self.record_violation(description);
-            }
-        }
-        if let Some(call) = self.unconcluded.first() {
-            let description = format!("call {call} has no conclusion at the end of the run");
-            self.record_violation(description);
-        }
-    }
-
-    fn count_in_doubt_without_run(&mut self) {
-        let count = self
-            .call_states
-            .values()
-            .filter(|call_state| matches!(call_state.conclusion, Some(Conclusion::InDoubt { .. })))
-            .filter(|call_state| self.service.run_count(&call_state.key) == 0)
-            .count();
-        self.report.in_doubt_without_run = count as u64;
-    }
 }
 
 fn key_name(number: u64) -> String {
--- a/rhubarbrock/src/claim.rs
+++ b/rhubarbrock/src/claim.rs
@@ -14,53 +14,27 @@
 //!   is in the log, because the refusal voids the claims of all earlier calls.
 //! - *in doubt*: this call, or an earlier one with the key, may have run.
 
+mod appends;
+mod conclusion;
+mod input;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use derive_more::Display;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rhubarbrock_schema::log;
 
 use crate::claim_batch::{BatchId, Batcher, EntryId};
 use crate::claim_call::{Call, Stage, Step};
-use crate::claim_table::{self, Nonce, State, Table};
+use crate::claim_table::{self, Nonce, Table};
 use crate::id::{CallId, NodeId, Offset};
 use crate::{claim_call, claim_record};
 
 pub use crate::claim_config::Config;
 pub use crate::claim_table::{Answer, Counters};
-
-/// A call that arrived at this node.
-#[derive(Debug, Clone)]
-pub struct NewCall {
-    /// Number of the call, unique within a node.
-    pub call: CallId,
-    /// Organisation of the caller.
-    pub organisation: String,
-    /// The caller's idempotency key. If absent, a random key is generated: the call still runs at
-    /// most once, but its outcome cannot be queried by a repetition.
-    pub key: Option<String>,
-    /// Whether the caller states that it may have sent the key before.
-    pub is_repetition: bool,
-    /// Creation time of the key as stated by the caller, since the Unix epoch.
-    pub key_created_at: Option<Duration>,
-    /// SHA-256 of method, path and body; a key is bound to one such hash.
-    pub request_sha256: [u8; 32],
-    /// Name of the called service.
-    pub service: String,
-    /// Position in a sequence of calls, if the caller names one.
-    pub sequence_position: Option<SequencePosition>,
-}
-
-/// Position of a call in a sequence named by the caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct SequencePosition {
-    /// Name of the sequence, unique within organisation and service.
-    pub sequence: String,
-    /// Position, counted from 1.
-    pub position: u64,
-}
+pub use conclusion::{Conclusion, InDoubtReason, NotRunReason};
+pub use input::{AppendResult, DispatchResult, NewCall, Page, Record, SequencePosition};
 
 /// An action that the caller of [`Claims`] must carry out.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -91,158 +65,6 @@
     },
 }
 
-/// The result that a caller receives.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Conclusion {
-    /// The endpoint's answer.
-    Answered {
-        /// The answer.
-        answer: Answer,
-        /// Whether the answer was read from the log instead of received by this call's dispatch.
-        is_replay: bool,
-    },
-    /// Neither this call nor an earlier one with the key ran or will run.
-    NotRun {
-        /// Cause.
-        reason: NotRunReason,
-        /// Time after which a retry may succeed; `None` if no retry can succeed.
-        retry_after: Option<Duration>,
-    },
-    /// The call may have run.
-    InDoubt {
-        /// Cause.
-        reason: InDoubtReason,
-    },
-    /// The key is bound to a request with a different hash; this call is never sent.
-    Mismatch,
-    /// The key has outlived its lifetime, so earlier calls with it may have been forgotten; this
-    /// call is not sent.
-    KeyExpired,
-}
-
-/// Why a call did not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
-pub enum NotRunReason {
-    /// The platform's log cannot be reached.
-    #[display("the log is not available")]
-    LogUnavailable,
-    /// The claim was not appended and read back in time.
-    #[display("the log is too slow")]
-    LogSlow,
-    /// This node has not yet read the log up to the end that it saw when it started.
-    #[display("the node is starting")]
-    Starting,
-    /// No endpoint could be reached; no byte of the call was sent.
-    #[display("no endpoint could be reached")]
-    NoEndpoint,
-    /// The call at the previous position of the sequence has no recorded answer.
-    #[display("the predecessor in the sequence has no answer")]
-    PredecessorUnanswered,
-    /// This position of the sequence, or a later one, has been answered.
-    #[display("the sequence is past this position")]
-    PositionPassed,
-    /// Another key has claimed this position of the sequence.
-    #[display("another call has this position of the sequence")]
-    PositionTaken,
-    /// Another call with the key was refused while this one was in progress, which voids the claim
-    /// of this one.
-    #[display("a call with the same key was refused meanwhile")]
-    Withdrawn,
-    /// The node has reached its limit of unfinished calls.
-    #[display("too many calls")]
-    TooManyCalls,
-    /// The node is leaving.
-    #[display("the node is leaving")]
-    Leaving,
-}
-
-/// Why it is unknown whether a call ran.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Display)]
-pub enum InDoubtReason {
-    /// The call may have reached the endpoint, and no answer was received.
-    #[display("the endpoint's answer was lost")]
-    AnswerLost,
-    /// The endpoint did not answer within the answer time-out.
-    #[display("the endpoint has not answered in time")]
-    AnswerLate,
-    /// The endpoint rejected the fencing token, as it has accepted a higher one for the key.
-    #[display("the endpoint has accepted a newer call with the key")]
-    FenceRefused,
-    /// The log records the outcome of the first call as in doubt.
-    #[display("the outcome of the first call is in doubt")]
-    Recorded,
-    /// Another call holds the key, and its outcome was not recorded in time.
-    #[display("the node that holds the call has not recorded an outcome")]
-    HolderSilent,
-    /// The log cannot be read or appended to in time, so an earlier call with the key may exist.
-    #[display("the log is not available in time and the key may have been used")]
-    LogUnavailable,
-    /// Records from within the key's lifetime are missing from what this node has read.
-    #[display("the log does not reach back over the key's life")]
-    LogTooShort,
-    /// The node has reached its limit of unfinished calls and did not look up the key.
-    #[display("too many calls")]
-    TooManyCalls,
-    /// The node is leaving and the call has no outcome yet.
-    #[display("the node is leaving while the call is under way")]
-    Leaving,
-}
-
-/// Result of an append to the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum AppendResult {
-    /// The record was appended at this offset.
-    At(Offset),
-    /// The log rejected the record; it will not appear.
-    Failed,
-    /// The reply was lost; the record may appear at any later time.
-    Unknown,
-}
-
-/// How the dispatch of a call ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum DispatchResult {
-    /// The endpoint answered.
-    Answered {
-        /// HTTP status code.
-        status: u16,
-        /// Value of the `Content-Type` header.
-        content_type: String,
-        /// Complete body.
-        body: Vec<u8>,
-    },
-    /// No byte of the call was or will be sent, for example if the connection was refused.
-    NotSent,
-    /// The call may have reached the endpoint, whose answer was not received.
-    Unknown,
-    /// The endpoint rejected the fencing token.
-    FencingTokenRejected,
-}
-
-/// A record read from topic "claims".
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Record {
-    /// Offset of the record in the topic.
-    pub offset: Offset,
-    /// Time at which the log accepted the record, in milliseconds since the Unix epoch.
-    pub time_ms: u64,
-    /// Encoded `ClaimBatch`; may be malformed.
-    pub bytes: Vec<u8>,
-}
-
-/// Result of one read of topic "claims".
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Page {
-    /// Records in ascending order of offsets.
-    pub records: Vec<Record>,
-    /// Offset from which to read the next page.
-    pub next_offset: Offset,
-    /// Oldest offset that the log still retains.
-    pub oldest_offset: Offset,
-    /// Offset that the next appended record will get.
-    pub end_offset: Offset,
-}
-
 /// Claims and unfinished calls of one node.
 #[derive(Debug)]
 pub struct Claims {
@@ -623,124 +445,6 @@
         self.remove(id);
     }
 
-    fn end_dispatched(&mut self, now: Duration, id: CallId, result: DispatchResult) {
-        let call = &self.calls[&id];
-        let (entry, conclusion) = match result {
-            DispatchResult::Answered { status, content_type, body } => {
-                let answer = Answer { status, content_type, body, body_omitted: false };
-                let entry = claim_record::answered(call, &answer, self.config.max_answer_bytes);
-                (entry, Conclusion::Answered { answer, is_replay: false })
-            }
-            DispatchResult::FencingTokenRejected => {
-                (claim_record::in_doubt(call), in_doubt(InDoubtReason::FenceRefused))
-            }
-            DispatchResult::Unknown | DispatchResult::NotSent => {
-                (claim_record::in_doubt(call), in_doubt(InDoubtReason::AnswerLost))
-            }
-        };
-        self.queue_end(now, id, entry);
-        self.conclude(id, conclusion);
-        self.remove(id);
-    }
-
-    fn queue_end(&mut self, now: Duration, id: CallId, entry: log::ClaimEntry) {
-        let call = &self.calls[&id];
-        let end = PendingEnd { entry, key: call.key, is_queued: true, sent_at: now };
-        self.pending_ends.insert(call.nonce, end);
-        self.batcher.push(EntryId::End(call.nonce));
-    }
-
-    /// Drops ends that are in the log: the claim with the same nonce is no longer open.
-    fn drop_recorded_ends(&mut self) {
-        let table = &self.table;
-        let is_caught_up = self.next_offset >= self.catch_up_end;
-        self.pending_ends.retain(|nonce, end| match table.get(end.key) {
-            Some(entry) => entry.nonce == *nonce && entry.state == State::Open,
-            None => !is_caught_up,
-        });
-    }
-
-    fn resend_ends(&mut self, now: Duration) {
-        let after = self.config.end_resend_interval;
-        for (nonce, end) in &mut self.pending_ends {
-            if !end.is_queued && now >= end.sent_at + after {
-                end.is_queued = true;
-                self.batcher.push(EntryId::End(*nonce));
-            }
-        }
-    }
-
-    fn requeue(&mut self, entry_id: EntryId) {
-        match entry_id {
-            EntryId::Claim(id) => {
-                if let Some(call) = self.calls.get_mut(&id)
-                    && matches!(call.stage, Stage::Sent { .. })
-                {
-                    if call.concluded {
-                        self.remove(id);
-                        return;
-                    }
-                    call.stage = Stage::Queued { at: call.first_queued_at };
-                    call.claim_sent = false;
-                    self.batcher.push(entry_id);
-                }
-            }
-            EntryId::Refusal(_) => self.batcher.push(entry_id),
-            EntryId::End(nonce) => {
-                if let Some(end) = self.pending_ends.get_mut(&nonce) {
-                    end.is_queued = true;
-                    self.batcher.push(entry_id);
-                }
-            }
-        }
-    }
-
-    /// Appends queued entries as one record, if an append may be sent now.
-    fn flush(&mut self, now: Duration) {
-        if !self.is_log_available || !self.is_caught_up() || !self.batcher.can_send(now) {
-            return;
-        }
-        let mut builder = claim_record::BatchBuilder::new(self.config.max_batch_bytes);
-        let mut entry_ids = Vec::new();
-        while builder.has_room()
-            && let Some(entry_id) = self.batcher.pop()
-        {
-            if let Some(entry) = self.build_entry(now, entry_id) {
-                builder.push(entry);
-                entry_ids.push(entry_id);
-            }
-        }
-        if entry_ids.is_empty() {
-            return;
-        }
-        let batch = self.batcher.send(now, entry_ids);
-        self.actions.push(Action::Append { batch, record: builder.record() });
-    }
-
-    /// Builds the entry to append, or `None` if it has become obsolete in the queue.
-    fn build_entry(&mut self, now: Duration, entry_id: EntryId) -> Option<log::ClaimEntry> {
-        match entry_id {
-            EntryId::Claim(id) => {
-                let call = self.calls.get_mut(&id)?;
-                let Stage::Queued { .. } = call.stage else { return None };
-                call.stage = Stage::Sent { at: now };
-                call.claim_sent = true;
-                Some(claim_record::claim(call, self.node, self.unix_time))
-            }
-            EntryId::Refusal(id) => {
-                let call = self.calls.get(&id)?;
-                let Stage::Refusing { .. } = call.stage else { return None };
-                Some(claim_record::refusal(call))
-            }
-            EntryId::End(nonce) => {
-                let end = self.pending_ends.get_mut(&nonce)?;
-                end.is_queued = false;
-                end.sent_at = now;
-                Some(end.entry.clone())
-            }
-        }
-    }
-
     /// Reports a conclusion; keeps the call while its claim may still appear in the log or its
     /// dispatch is unfinished.
     fn conclude(&mut self, id: CallId, conclusion: Conclusion) {
--- a/rhubarbrock/src/lib.rs
+++ b/rhubarbrock/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod custody;
 mod custody_custodian;
 mod custody_holder;
+mod custody_progress;
 pub mod defaults;
 pub mod digest;
 pub mod dispatch;
--- a/rhubarbrock/src/node.rs
+++ b/rhubarbrock/src/node.rs
@@ -4,53 +4,27 @@
 //! implement its parts: model requests, plain calls, the platform, other nodes
 //! and its status.
 
+mod config;
+
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use rhubarbrock_schema::{peer, release as schema};
+use rhubarbrock_schema::release as schema;
 
 use crate::{
     action, answer_cache, claim, counter, custody, dispatch, drain, event, fairness, id,
-    membership, node_custody, node_model, node_plain, node_platform, node_quarantine, placement,
-    quarantine, release, retry, snapshot, timeline,
+    membership, node_custody, node_model, node_plain, node_platform, node_quarantine, quarantine,
+    release, retry, snapshot, timeline,
 };
 
+pub use config::Config;
+
 /// How long a node may serve with its release after it learned of a higher version.
 pub const MAX_RELEASE_LAG: Duration = Duration::from_secs(4);
 
 /// Time between runs of the work that need not be done on every tick.
 const SLOW_TICK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Settings of a node.
-#[derive(Debug, Clone)]
-pub struct Config {
-    /// Id drawn at random for this process.
-    pub node: id::NodeId,
-    /// Name of the node in its status and timeline and at other nodes.
-    pub name: String,
-    /// Data centre that the node runs in.
-    pub data_centre: String,
-    /// Region of the data centre; empty if not configured.
-    pub region: String,
-    /// Time at which the process started, since the Unix epoch.
-    pub started_at: Duration,
-    /// Instance that the node runs on; 0 for none.
-    pub instance: id::InstanceId,
-    /// Address that takes the requests of callers.
-    pub caller_address: SocketAddr,
-    /// Address that takes the calls and datagrams of other nodes.
-    pub peer_address: SocketAddr,
-    /// Addresses of nodes to join through, besides those in the platform's list.
-    pub seeds: Vec<SocketAddr>,
-    /// Time between membership probes.
-    pub probe_interval: Duration,
-    /// Limit of the duration of a drain; `None` uses the default of [`drain::Config`].
-    pub drain_limit: Option<Duration>,
-    /// Seed of the node's random number generators.
-    pub random_seed: u64,
-}
-
 /// Request or call that a ticket of the dispatcher belongs to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Work {
@@ -108,7 +82,7 @@
         let claims = claim::Claims::new(claim::Config::new(), config.node, config.random_seed);
         let membership = membership::Membership::new(
             membership::Config::default().probe_interval(config.probe_interval),
-            own_record(&config),
+            config::own_record(&config),
             config.random_seed,
         );
         Node {
@@ -121,8 +95,8 @@
             dispatcher,
             claims,
             membership,
-            custody: custody::Custody::new(custody::Config::default(), own_place(&config)),
-            drain: drain::Drain::new(drain_config(&config)),
+            custody: custody::Custody::new(custody::Config::default(), config::own_place(&config)),
+            drain: drain::Drain::new(config::drain_config(&config)),
             retries: retry::Retries::new(retry::Config::new(), config.random_seed),
             quarantine: quarantine::Quarantine::new(node_quarantine::quarantine_config()),
             last_crashes: BTreeMap::new(),
@@ -478,33 +452,3 @@
         self.refuse(call, action::RefusalKind::NotFound, detail, None);
     }
 }
-
-fn own_place(config: &Config) -> placement::Place {
-    placement::Place {
-        node: config.node,
-        data_centre: config.data_centre.clone(),
-        region: config.region.clone(),
-        running: true,
-        leaving: false,
-    }
-}
-
-fn drain_config(config: &Config) -> drain::Config {
-    let default = drain::Config::default();
-    drain::Config { limit: config.drain_limit.unwrap_or(default.limit), ..default }
-}
-
-fn own_record(config: &Config) -> peer::Member {
-    peer::Member {
-        node: config.node,
-        name: config.name.clone(),
-        data_centre: config.data_centre.clone(),
-        datagram_address: config.peer_address.to_string(),
-        peer_address: config.peer_address.to_string(),
-        caller_address: config.caller_address.to_string(),
-        region: config.region.clone(),
-        started_at_ms: config.started_at.as_millis() as u64,
-        instance: config.instance,
-        ..Default::default()
-    }
-}
--- a/rhubarbrock/src/routing.rs
+++ b/rhubarbrock/src/routing.rs
@@ -6,143 +6,23 @@
 //! load exceeds a bound relative to the mean (consistent hashing with bounded
 //! loads). `docs/design/routing.md` compares the alternatives.
 
+mod selected;
+mod settings;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use derive_more::{Display, Error};
+use derive_more::Display;
 use rhubarbrock_schema::release;
 
-use crate::{cache, choice, endpoint, health, id, limit, rates, view};
+use crate::{cache, choice, endpoint, id, rates, view};
+
+pub use selected::{Choice, NoEndpoint, NoEndpointReason, Reason, Rule};
+pub use settings::Settings;
 
 /// Fewest tokens over which a mean token interval is measured; evens out single slow steps.
 const MIN_INTERVAL_TOKENS: u32 = 32;
 
-/// Settings of a [`Router`].
-#[derive(Debug, Clone, PartialEq)]
-pub struct Settings {
-    /// Highest load of an endpoint that may be chosen, as a multiple of the mean load.
-    pub load_bound: f64,
-    /// Requests allowed in addition to `load_bound` times the mean load; at least 1 is used.
-    pub load_slack: f64,
-    /// Endpoints of a service whose load this node tracks.
-    pub subset_size: usize,
-    /// Number of endpoints on which requests with the same shared prefix are concentrated.
-    pub shared_prefix_endpoints: usize,
-    /// Cost added per rank among those endpoints, so that the highest ranked fill up first.
-    pub shared_prefix_rank_cost: Duration,
-    /// Whether a dialogue's home endpoint (the highest ranked for its hash) is preferred.
-    pub prefers_home: bool,
-    /// Share of a dialogue's previous turns expected in its home endpoint's cache, 0 to 1.
-    pub home_cache_share: f64,
-    /// Share of an endpoint's limit that requests with [`Query::leaves_headroom`] may use, 0 to 1.
-    pub usable_limit_share: f64,
-    /// Weight of computing a prompt token, relative to waiting for one: it slows other requests.
-    pub prefill_weight: f64,
-    /// Cost per request already at an endpoint.
-    pub request_cost: Duration,
-    /// Cost of twice the lowest price (linear in the excess) under the objective `Cost`.
-    pub cost_objective_price_cost: Duration,
-    /// Cost of twice the lowest price (linear in the excess) under the objective `Latency`.
-    pub latency_objective_price_cost: Duration,
-    /// Cost of another data centre whose round-trip time is not set.
-    pub unknown_distance_cost: Duration,
-    /// Cost of an endpoint that has not answered within `max_list_age` while the list is stale.
-    pub unconfirmed_cost: Duration,
-    /// Age up to which a load report is used.
-    pub max_load_age: Duration,
-    /// Age beyond which the list counts as stale.
-    pub max_list_age: Duration,
-    /// How long a peer's report that an endpoint is unreachable stays valid.
-    pub unreachable_duration: Duration,
-    /// A report taken this much later than the last one replaces it even if its sequence is
-    /// lower, because the endpoint has restarted.
-    pub restart_gap: Duration,
-    /// Ejection after failed requests of this node.
-    pub health: health::Settings,
-    /// Adaptive concurrency limit of each endpoint.
-    pub limit: limit::Settings,
-    /// Prefix cache index.
-    pub cache: cache::Settings,
-}
-
-impl Default for Settings {
-    fn default() -> Settings {
-        Settings {
-            load_bound: 1.25,
-            load_slack: 6.0,
-            subset_size: 64,
-            shared_prefix_endpoints: 6,
-            shared_prefix_rank_cost: Duration::from_micros(1500),
-            prefers_home: true,
-            home_cache_share: 0.8,
-            usable_limit_share: 0.75,
-            prefill_weight: 4.0,
-            request_cost: Duration::from_micros(1500),
-            cost_objective_price_cost: Duration::from_millis(20),
-            latency_objective_price_cost: Duration::ZERO,
-            unknown_distance_cost: Duration::from_millis(10),
-            unconfirmed_cost: Duration::from_millis(500),
-            max_load_age: Duration::from_secs(5),
-            max_list_age: Duration::from_secs(30),
-            unreachable_duration: Duration::from_secs(5),
-            restart_gap: Duration::from_secs(10),
-            health: health::Settings::default(),
-            limit: limit::Settings::default(),
-            cache: cache::Settings::default(),
-        }
-    }
-}
-
-impl Settings {
-    /// Sets the load bound (a multiple of the mean, at least 1) and the requests added to it.
-    pub fn load_bound(mut self, bound: f64, slack: f64) -> Settings {
-        self.load_bound = bound.max(1.0);
-        self.load_slack = slack.max(0.0);
-        self
-    }
-
-    /// Sets the number of endpoints of a service whose load is tracked, at least 1.
-    pub fn subset_size(mut self, endpoints: usize) -> Settings {
-        self.subset_size = endpoints.max(1);
-        self
-    }
-
-    /// Sets whether a dialogue's home endpoint is preferred, and the share (0 to 1) of previous
-    /// turns expected in its cache.
-    pub fn home_preference(mut self, prefers: bool, cache_share: f64) -> Settings {
-        self.prefers_home = prefers;
-        self.home_cache_share = cache_share.clamp(0.0, 1.0);
-        self
-    }
-
-    /// Sets the cost per request already at an endpoint.
-    pub fn request_cost(mut self, cost: Duration) -> Settings {
-        self.request_cost = cost;
-        self
-    }
-
-    /// Sets the cost of twice the lowest price, as waiting time, under the objectives `Cost` and
-    /// `Latency`.
-    pub fn price_cost(mut self, cost_objective: Duration, latency_objective: Duration) -> Settings {
-        self.cost_objective_price_cost = cost_objective;
-        self.latency_objective_price_cost = latency_objective;
-        self
-    }
-
-    /// Sets the default target for the time between two tokens.
-    pub fn interval_target(mut self, target: Duration) -> Settings {
-        self.limit.interval_target = target;
-        self
-    }
-
-    /// Sets the ages up to which load reports and the list are used.
-    pub fn max_ages(mut self, load: Duration, list: Duration) -> Settings {
-        self.max_load_age = load;
-        self.max_list_age = list;
-        self
-    }
-}
-
 /// Properties of a request that endpoint selection depends on.
 #[derive(Debug, Clone, Copy)]
 pub struct Query<'a> {
@@ -165,100 +45,6 @@
     pub exclude: &'a [id::EndpointId],
 }
 
-/// Rule by which an endpoint was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum Rule {
-    /// The endpoint has the longest known cached prefix of the prompt.
-    #[display("prefix")]
-    Prefix,
-    /// The endpoint is the dialogue's home.
-    #[display("home")]
-    Home,
-    /// A home endpoint or a longer cached prefix exists, but this endpoint was cheaper or below
-    /// the load bound.
-    #[display("spill")]
-    Spill,
-    /// The endpoint had the lowest cost; no cached prefix and no home endpoint was known.
-    #[display("cheapest")]
-    Cheapest,
-    /// The endpoint's ejection has ended and the request probes it.
-    #[display("probe")]
-    Probe,
-    /// Peers report the endpoint unreachable, but no other is available.
-    #[display("last resort")]
-    LastResort,
-}
-
-impl Rule {
-    /// All rules, in the order of declaration.
-    pub const ALL: [Rule; 6] =
-        [Rule::Prefix, Rule::Home, Rule::Spill, Rule::Cheapest, Rule::Probe, Rule::LastResort];
-}
-
-/// Why an endpoint was chosen, for the timeline.
-#[derive(Debug, Clone, Copy, PartialEq, Display)]
-#[display(
-    "{rule}: {matched_tokens} of {prompt_tokens} prompt tokens cached there, load {load:.1} \
-     (bound {bound:.1}, limit {limit:.0}), cost {cost_us} us, {candidates} candidates{}",
-    if *is_stale { ", on stale loads" } else { "" }
-)]
-pub struct Reason {
-    /// Rule that applied.
-    pub rule: Rule,
-    /// Prompt tokens known to be cached at the endpoint.
-    pub matched_tokens: u32,
-    /// Size of the prompt, in tokens.
-    pub prompt_tokens: u32,
-    /// Requests at the endpoint: the last report, corrected by this node's requests since.
-    pub load: f64,
-    /// Load below which an endpoint could be chosen, in requests.
-    pub bound: f64,
-    /// Concurrency limit of the endpoint for this request, in requests.
-    pub limit: f64,
-    /// Expected wait plus penalties, in microseconds; 0 for a probe.
-    pub cost_us: u64,
-    /// Number of endpoints compared.
-    pub candidates: usize,
-    /// Whether no load report within [`Settings::max_load_age`] was available.
-    pub is_stale: bool,
-}
-
-/// Endpoint selected for a request.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Choice {
-    /// The endpoint to send to.
-    pub endpoint: id::EndpointId,
-    /// Why it was chosen.
-    pub reason: Reason,
-}
-
-/// Why no endpoint can be selected.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum NoEndpointReason {
-    /// No endpoint of the service is live.
-    #[display("no live endpoint")]
-    NoneLive,
-    /// All live endpoints are excluded for this request.
-    #[display("every live endpoint was tried")]
-    AllExcluded,
-    /// All live endpoints are ejected, busy or excluded.
-    #[display("every live endpoint is ejected")]
-    AllEjected,
-    /// All candidates are at their concurrency limit or at the load bound.
-    #[display("every live endpoint is full")]
-    AllFull,
-}
-
-/// No endpoint can be selected now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, Error)]
-#[display("{reason}")]
-pub struct NoEndpoint {
-    /// What ruled the endpoints out.
-    pub reason: NoEndpointReason,
-    /// Time until an endpoint may be available.
-    pub retry_after: Duration,
-}
-
 /// How a request failed at an endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum Failure {
--- a/rhubarbrockd/tests/crowd/mod.rs
+++ b/rhubarbrockd/tests/crowd/mod.rs
@@ -8,7 +8,7 @@
 
 use platform_standins::caller;
 use platform_standins::config::{self, KEY};
-use platform_standins::replica::Replica;
+use platform_standins::replica::{Mode, Replica};
 use platform_standins::store::Store;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -78,13 +78,14 @@
             max_delay_ms: 2_000,
         };
         let settings = config::settings(&gateway_settings)
-            + &format!("limits.memory_mb={memory_mb}\nlimits.max_fds={MAX_FDS}\n");
+            + &config::memory_setting(memory_mb)
+            + &config::descriptors_setting(MAX_FDS);
         let settings_path =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crowd-{host}.settings"));
         fs::write(&settings_path, settings).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
             .arg("gateway")
-            .env("RHUBARBROCK_NODE_FILE", &settings_path)
+            .env(config::SETTINGS_VARIABLE, &settings_path)
             .stdout(Stdio::null())
             .spawn()
             .expect("rhubarbrockd starts");
@@ -124,7 +125,7 @@
             self.max_fds = self.max_fds.max(open_fds(&self.child));
         }
         let blocked = sending.len();
-        self.replica.set_mode(platform_standins::replica::Mode::Healthy);
+        self.replica.set_mode(Mode::Healthy);
         self.check_answers("beside the crowd").await;
         let (beside_mb, fds) = (resident_mb(&self.child, "VmRSS:"), self.max_fds);
         sending.shutdown().await;
@@ -187,14 +188,9 @@
     Some(stream)
 }
 
-/// Head of a request as a client sends it that gives no time limit.
+/// Head of the request of one connection in a crowd.
 pub(crate) fn head(path: &str, number: usize, framing: &str) -> Vec<u8> {
-    format!(
-        "POST {path} HTTP/1.1\r\nHost: {}\r\nAttempt-Id: crowd-{number}\r\nX-Api-Key: {KEY}\r\n\
-         {framing}\r\n\r\n",
-        config::HOST
-    )
-    .into_bytes()
+    caller::head_text(path, &format!("crowd-{number}"), KEY, framing).into_bytes()
 }
 
 /// A chunk of a chunked body.
--- a/rhubarbrockd/tests/gateway_logs.rs
+++ b/rhubarbrockd/tests/gateway_logs.rs
@@ -65,7 +65,7 @@
         fs::write(&settings_path, config::settings(&gateway_settings)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
             .arg("gateway")
-            .env("RHUBARBROCK_NODE_FILE", &settings_path)
+            .env(config::SETTINGS_VARIABLE, &settings_path)
             .stdout(stdout)
             .spawn()
             .expect("rhubarbrockd starts");
--- a/rhubarbrockd/tests/gateway_memory.rs
+++ b/rhubarbrockd/tests/gateway_memory.rs
@@ -129,11 +129,11 @@
     };
     let settings_path =
         PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("memory-{host}.settings"));
-    let settings = config::settings(&gateway_settings) + &format!("limits.memory_mb={MEMORY_MB}\n");
+    let settings = config::settings(&gateway_settings) + &config::memory_setting(MEMORY_MB);
     fs::write(&settings_path, settings).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
         .arg("gateway")
-        .env("RHUBARBROCK_NODE_FILE", &settings_path)
+        .env(config::SETTINGS_VARIABLE, &settings_path)
         .stdout(Stdio::null())
         .spawn()
         .expect("rhubarbrockd starts");
--- a/rhubarbrockd/tests/soak/gateway.rs
+++ b/rhubarbrockd/tests/soak/gateway.rs
@@ -9,9 +9,6 @@
 
 use crate::child::Child;
 
-/// Environment variable that names the settings file.
-const SETTINGS_VARIABLE: &str = "RHUBARBROCK_NODE_FILE";
-
 pub(crate) struct Gateway {
     pub(crate) caller_address: SocketAddr,
     pub(crate) readiness_address: SocketAddr,
@@ -48,7 +45,7 @@
     let log_file = File::create(log_path.with_extension(format!("{start}.log"))).unwrap();
     let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
         .arg("gateway")
-        .env(SETTINGS_VARIABLE, settings_path)
+        .env(config::SETTINGS_VARIABLE, settings_path)
         .stdout(Stdio::from(log_file))
         .spawn();
     Child(child.expect("rhubarbrockd starts"))
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -10,11 +10,17 @@
 //! these steps, [`Engine::next_token_at`] the end of the current one. All times are durations
 //! since one origin that the caller chooses, and must not decrease from call to call.
 
+mod output;
+mod request;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::cache::{self, PrefixCache};
-use crate::text::{self, BlockHash};
+use crate::text;
+
+pub use output::{Counters, Event, KvExtent, Load, Usage};
+pub use request::{Request, SubmitError};
 
 /// Id of an attempt, chosen by the caller; unique among those that wait or run on an engine.
 pub type AttemptId = u64;
@@ -55,144 +61,6 @@
     }
 }
 
-/// One attempt at a request.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Request {
-    /// Id of the attempt.
-    pub id: AttemptId,
-    /// Hashes of the complete blocks of the context.
-    pub blocks: Vec<BlockHash>,
-    /// Tokens in the prompt.
-    pub prompt_tokens: u32,
-    /// Answer tokens that earlier attempts generated; generation continues after them.
-    pub resume_tokens: u32,
-    /// Tokens in the whole answer, including the resumed ones.
-    pub answer_tokens: u32,
-    /// Leading context tokens whose KV cache was imported.
-    pub imported_tokens: u32,
-    /// Whether an earlier attempt computed the prompt; tokens computed now then count as
-    /// recomputed.
-    pub computed_before: bool,
-    /// Requests with a lower value leave the queue first.
-    pub priority: i32,
-    /// Whether the engine crashes at the end of this request's prefill.
-    pub is_poison: bool,
-}
-
-/// Why an attempt was refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-pub enum SubmitError {
-    /// `max_waiting` requests are waiting already.
-    #[display("too many requests wait")]
-    Full,
-    /// The engine crashed and has not been restarted.
-    #[display("engine is down")]
-    Down,
-    /// An attempt with this id is waiting or running.
-    #[display("attempt is known already")]
-    Duplicate,
-}
-
-/// Token counts of a finished attempt.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Usage {
-    /// Tokens in the prompt.
-    pub prompt_tokens: u32,
-    /// Tokens in the whole answer, including the resumed ones.
-    pub completion_tokens: u32,
-    /// Context tokens that were found in the cache or imported.
-    pub cached_tokens: u32,
-    /// Context tokens that were computed.
-    pub computed_tokens: u32,
-}
-
-/// Event in the engine.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Event {
-    /// An attempt generated its first token; a `Tokens` event that contains it follows.
-    FirstToken {
-        /// The attempt.
-        id: AttemptId,
-        /// Time of the event.
-        at: Duration,
-        /// Context tokens that were found in the cache or imported.
-        cached_tokens: u32,
-    },
-    /// An attempt generated the tokens `from..to` of the whole answer.
-    Tokens {
-        /// The attempt.
-        id: AttemptId,
-        /// When the last of them was generated.
-        at: Duration,
-        /// Index of the first token.
-        from: u32,
-        /// Index after the last token.
-        to: u32,
-    },
-    /// An attempt generated its whole answer.
-    Finished {
-        /// The attempt.
-        id: AttemptId,
-        /// Time of the event.
-        at: Duration,
-        /// Its token counts.
-        usage: Usage,
-    },
-    /// The engine crashed; all its attempts and its cache are lost.
-    Crashed {
-        /// The attempt that crashed it.
-        id: AttemptId,
-        /// Time of the event.
-        at: Duration,
-        /// The other attempts that were lost, running or waiting.
-        lost: Vec<AttemptId>,
-    },
-}
-
-/// Totals since the engine was created; a restart keeps them. Context tokens are counted when
-/// their attempt enters the batch.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Counters {
-    /// Context tokens computed, including recomputed ones.
-    pub computed_prompt_tokens: u64,
-    /// Context tokens found in the cache or imported.
-    pub cached_tokens: u64,
-    /// Context tokens computed again after an earlier attempt had computed them.
-    pub recomputed_tokens: u64,
-    /// Tokens generated.
-    pub generated_tokens: u64,
-    /// Attempts finished.
-    pub finished: u64,
-    /// Attempts cancelled.
-    pub cancelled: u64,
-    /// Crashes of the engine.
-    pub crashes: u64,
-}
-
-/// Load of the engine at one time.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Load {
-    /// Attempts in the batch.
-    pub running: u32,
-    /// Attempts in the queue.
-    pub waiting: u32,
-    /// KV memory reserved by running attempts, in percent; at most 100.
-    pub kv_used_percent: u32,
-    /// Tokens still to be prefilled or generated, over all attempts.
-    pub queued_tokens: u64,
-    /// Tokens generated per second by the present batch.
-    pub tokens_per_s: f64,
-}
-
-/// How much of an attempt's KV cache exists at one time.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct KvExtent {
-    /// Context tokens prefilled so far, and tokens that this attempt generated.
-    pub tokens: u32,
-    /// Tokens in the answer so far, including the resumed ones.
-    pub answer_tokens: u32,
-}
-
 #[derive(Debug)]
 struct Sequence {
     request: Request,
--- a/standins/src/replica.rs
+++ b/standins/src/replica.rs
@@ -1,13 +1,16 @@
 //! Engine replica: the engine model under the real clock, with load reports, cache events, KV
 //! cache exports, orders and faults.
 
+mod faults;
+mod order;
+mod reports;
+
 use std::collections::{HashMap, VecDeque};
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::cache;
@@ -16,6 +19,10 @@
 use crate::http;
 use crate::text::{self, Answer, BlockHash};
 
+pub use faults::Faults;
+pub use order::{Order, StaleFencingToken};
+pub use reports::{CacheEvent, LateWork, LoadReport};
+
 /// Load reports retained, so that an old one can be shown; see [`Faults::load_lag_ms`].
 const MAX_REPORTS: usize = 1_200;
 /// Cache events retained.
@@ -23,122 +30,6 @@
 /// KV cache exports retained.
 const MAX_EXPORTS: usize = 256;
 
-/// Faults and speed of one replica, which can change while it runs.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Faults {
-    /// Age of the load report that is shown, in milliseconds.
-    pub load_lag_ms: u64,
-    /// Age from which cache events are shown, in milliseconds.
-    pub cache_event_lag_ms: u64,
-    /// Share of cache events that are never shown, in percent.
-    pub cache_event_gap_percent: u32,
-    /// Fixed part of the duration of a step, in microseconds.
-    pub token_interval_us: u64,
-    /// Duration that each prefilled token adds to a step, in microseconds.
-    pub prefill_us_per_token: u64,
-    /// Accepts connections but answers no call except those to `/faults`; answers in progress get
-    /// no further tokens.
-    pub frozen: bool,
-    /// Behaves as after a notice of the platform: refuses new attempts and reports that it leaves.
-    pub leaving: bool,
-    /// Refuses new attempts with status 503.
-    pub refuse: bool,
-}
-
-impl Default for Faults {
-    fn default() -> Faults {
-        let settings = engine::Settings::default();
-        Faults {
-            load_lag_ms: 300,
-            cache_event_lag_ms: 500,
-            cache_event_gap_percent: 2,
-            token_interval_us: settings.step_base_us,
-            prefill_us_per_token: settings.prefill_us_per_token,
-            frozen: false,
-            leaving: false,
-            refuse: false,
-        }
-    }
-}
-
-/// Order of what a replica is to serve.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
-pub struct Order {
-    /// Fencing token of the sender.
-    #[serde(rename = "fence")]
-    pub fencing_token: u64,
-    /// Name of the sender.
-    pub holder: String,
-    /// Model to load.
-    pub model: String,
-    /// Adapters to load.
-    pub adapters: Vec<String>,
-    /// Role to take.
-    pub role: String,
-    /// Version of the release that the order follows from.
-    pub version: u64,
-}
-
-/// An order was refused because a newer fencing token has been seen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-#[display("old fencing number")]
-pub struct StaleFencingToken;
-
-/// Load report.
-#[derive(Debug, Clone, Serialize)]
-pub struct LoadReport {
-    /// Number of the report, from 1.
-    pub sequence: u64,
-    /// Attempts in the batch.
-    pub running: u32,
-    /// Attempts in the queue.
-    pub waiting: u32,
-    /// KV memory reserved by running attempts, in percent.
-    pub kv_used_percent: u32,
-    /// Tokens still to be prefilled or generated.
-    pub queued_tokens: u64,
-    /// Tokens generated per second.
-    pub tokens_per_s: f64,
-    /// Whether the replica is leaving.
-    pub leaving: bool,
-    /// Time until it ends, in milliseconds; 0 without a notice.
-    pub leave_in_ms: u64,
-    /// Model that it serves or loads.
-    pub model: String,
-    /// Adapters that it serves.
-    pub adapters: Vec<String>,
-    /// Role in the last order.
-    pub role: String,
-    /// Version of the release in the last order.
-    pub version: u64,
-}
-
-/// Change of the prefix cache, as published to callers.
-#[derive(Debug, Clone, Serialize)]
-pub struct CacheEvent {
-    /// Number of the event, from 1.
-    pub sequence: u64,
-    /// Blocks added.
-    pub stored: Vec<BlockHash>,
-    /// Blocks evicted.
-    pub removed: Vec<BlockHash>,
-    #[serde(skip)]
-    at_ms: u64,
-    #[serde(skip)]
-    is_gap: bool,
-}
-
-/// Attempts that were sent to a replica after its notice.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-pub struct LateWork {
-    /// Number of attempts.
-    pub requests: u64,
-    /// Time from the notice to the last of them, in milliseconds.
-    pub last_after_ms: u64,
-}
-
 /// Exported KV cache: which blocks it covers, without their content.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KvExport {
