--- a/gateway/src/caller_limits.rs
+++ b/gateway/src/caller_limits.rs
@@ -27,13 +27,13 @@
 #[derive(Debug)]
 struct State {
     connections: CallerConnections,
-    orders: HashMap<ConnectionId, Arc<Orders>>,
+    signals: HashMap<ConnectionId, Arc<Signals>>,
     next_id: ConnectionId,
 }
 
-/// Orders to one connection.
+/// Wake-ups of the tasks of one connection.
 #[derive(Debug, Default)]
-struct Orders {
+struct Signals {
     refuse_body: Notify,
     close: Notify,
 }
@@ -43,29 +43,29 @@
 pub(crate) struct Caller {
     id: ConnectionId,
     limits: Arc<CallerLimits>,
-    orders: Arc<Orders>,
+    signals: Arc<Signals>,
 }
 
 impl CallerLimits {
     pub(crate) fn new(settings: &Settings, logger: Logger) -> CallerLimits {
         let connections = CallerConnections::new(settings.memory_bytes, settings.max_fds);
-        let state = State { connections, orders: HashMap::new(), next_id: 0 };
+        let state = State { connections, signals: HashMap::new(), next_id: 0 };
         CallerLimits { state: Mutex::new(state), logger }
     }
 
     /// Counts a connection. Returns `None` if there is no room for it.
     pub(crate) fn open(limits: &Arc<CallerLimits>) -> Option<Caller> {
-        let orders: Arc<Orders> = Arc::default();
+        let signals: Arc<Signals> = Arc::default();
         let mut state = limits.lock();
         let id = state.next_id;
         state.next_id += 1;
-        state.orders.insert(id, Arc::clone(&orders));
+        state.signals.insert(id, Arc::clone(&signals));
         let yielding = state.connections.open(BootClock.now(), id);
         drop(state);
         if let Some(yielding) = &yielding {
-            limits.order(yielding, "connections");
+            limits.signal(yielding, "connections");
         }
-        let caller = Caller { id, limits: Arc::clone(limits), orders };
+        let caller = Caller { id, limits: Arc::clone(limits), signals };
         yielding.is_none_or(|yielding| yielding.id != id).then_some(caller)
     }
 
@@ -74,21 +74,21 @@
         self.lock().connections.is_full()
     }
 
-    fn order(&self, yielding: &Yielding, limit: &'static str) {
+    fn signal(&self, yielding: &Yielding, limit: &'static str) {
         count_limit(limit);
         info!(self.logger, "a caller's connection yields";
             "limit" => limit, "stage" => ?yielding.stage, "held_bytes" => yielding.held_bytes);
-        let Some(orders) = self.lock().orders.get(&yielding.id).cloned() else { return };
+        let Some(signals) = self.lock().signals.get(&yielding.id).cloned() else { return };
         match yielding.stage {
-            Stage::ReadingBody => orders.refuse_body.notify_one(),
-            _ => orders.close.notify_one(),
+            Stage::ReadingBody => signals.refuse_body.notify_one(),
+            _ => signals.close.notify_one(),
         }
     }
 
-    fn order_all(&self, yielding: &[Yielding]) {
+    fn signal_all(&self, yielding: &[Yielding]) {
         for yielding in yielding {
             let is_answer = yielding.stage == Stage::Answering;
-            self.order(yielding, if is_answer { "answer_memory" } else { "body_memory" });
+            self.signal(yielding, if is_answer { "answer_memory" } else { "body_memory" });
         }
     }
 
@@ -100,18 +100,18 @@
 impl Caller {
     /// Resolves when the connection has to be closed at once.
     pub(crate) fn closing(&self) -> impl Future<Output = ()> + use<> {
-        let orders = Arc::clone(&self.orders);
-        async move { orders.close.notified().await }
+        let signals = Arc::clone(&self.signals);
+        async move { signals.close.notified().await }
     }
 
     /// Has the connection closed at once.
     pub(crate) fn close(&self) {
-        self.orders.close.notify_one();
+        self.signals.close.notify_one();
     }
 
     /// Resolves when the body that is being read has to be refused.
     pub(crate) async fn body_refused(&self) {
-        self.orders.refuse_body.notified().await;
+        self.signals.refuse_body.notified().await;
     }
 
     pub(crate) fn set_stage(&self, stage: Stage) {
@@ -126,14 +126,14 @@
     pub(crate) fn hold(&self, bytes: usize) -> bool {
         let Held { is_enough, yielding } =
             self.limits.lock().connections.hold(BootClock.now(), self.id, bytes);
-        self.limits.order_all(&yielding);
+        self.limits.signal_all(&yielding);
         is_enough
     }
 
     /// Sets the length of the complete answers that are being written.
     pub(crate) fn hold_answer(&self, bytes: usize) {
         let yielding = self.limits.lock().connections.hold_answer(BootClock.now(), self.id, bytes);
-        self.limits.order_all(&yielding);
+        self.limits.signal_all(&yielding);
     }
 }
 
@@ -141,6 +141,6 @@
     fn drop(&mut self) {
         let mut state = self.limits.lock();
         state.connections.close(self.id);
-        state.orders.remove(&self.id);
+        state.signals.remove(&self.id);
     }
 }
--- a/rhubarbrockd/tests/crowd/mod.rs
+++ b/rhubarbrockd/tests/crowd/mod.rs
@@ -2,8 +2,7 @@
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
-use std::process::{Command, Stdio};
+use std::process::Stdio;
 use std::time::{Duration, Instant};
 
 use platform_standins::caller;
@@ -70,8 +69,9 @@
         store.write_config(&config::config(1));
         let ip = Ipv4Addr::new(127, 92, (std::process::id() % 250) as u8, host).into();
         let first_port = config::free_ports(ip);
+        let name = format!("c{host}");
         let gateway_settings = config::GatewaySettings {
-            name: format!("c{host}"),
+            name: name.clone(),
             ip,
             first_port,
             store: store.start().await,
@@ -80,25 +80,10 @@
         let settings = config::settings(&gateway_settings)
             + &config::memory_setting(memory_mb)
             + &config::descriptors_setting(MAX_FDS);
-        let settings_path =
-            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("crowd-{host}.settings"));
-        fs::write(&settings_path, settings).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
-            .arg("gateway")
-            .env(config::SETTINGS_VARIABLE, &settings_path)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("rhubarbrockd starts");
+        let child = Child::start_gateway(&name, &settings, Stdio::null());
         let callers = SocketAddr::new(ip, first_port);
-        let mut gateway = Gateway {
-            child: Child(child),
-            callers,
-            replica,
-            memory_mb,
-            max_fds: 0,
-            _store: store,
-            _turn: turn,
-        };
+        let mut gateway =
+            Gateway { child, callers, replica, memory_mb, max_fds: 0, _store: store, _turn: turn };
         gateway.check_answers("start").await;
         gateway
     }
@@ -127,12 +112,11 @@
         let blocked = sending.len();
         self.replica.set_mode(Mode::Healthy);
         self.check_answers("beside the crowd").await;
-        let (beside_mb, fds) = (resident_mb(&self.child, "VmRSS:"), self.max_fds);
+        let (beside_mb, fds) = (self.child.memory_mb("VmRSS:"), self.max_fds);
         sending.shutdown().await;
         drop(crowd);
         self.check_answers("after the crowd").await;
-        let (peak_mb, after_mb) =
-            (resident_mb(&self.child, "VmHWM:"), resident_mb(&self.child, "VmRSS:"));
+        let (peak_mb, after_mb) = (self.child.memory_mb("VmHWM:"), self.child.memory_mb("VmRSS:"));
         println!(
             "peak {peak_mb} MB, beside the crowd {beside_mb} MB, after it {after_mb} MB, \
              {fds} descriptors, {blocked} connections still sending"
@@ -201,14 +185,6 @@
     chunk
 }
 
-/// Memory of a process, in MB, by the name of a line in its status.
-fn resident_mb(child: &Child, name: &str) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{}/status", child.0.id())).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix(name)).unwrap();
-    let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
-    kilobytes / 1024
-}
-
 fn open_fds(child: &Child) -> usize {
     fs::read_dir(format!("/proc/{}/fd", child.0.id())).map_or(0, Iterator::count)
 }
--- a/rhubarbrockd/tests/gateway_logs.rs
+++ b/rhubarbrockd/tests/gateway_logs.rs
@@ -7,7 +7,7 @@
 use std::io::Read as _;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Command, Stdio};
+use std::process::Stdio;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -54,23 +54,15 @@
         let first_port = config::free_ports(ip);
         let name = format!("g{host}");
         let gateway_settings = config::GatewaySettings {
-            name,
+            name: name.clone(),
             ip,
             first_port,
             store: store.start().await,
             max_delay_ms: 2_000,
         };
-        let settings_path =
-            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{host}.settings"));
-        fs::write(&settings_path, config::settings(&gateway_settings)).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
-            .arg("gateway")
-            .env(config::SETTINGS_VARIABLE, &settings_path)
-            .stdout(stdout)
-            .spawn()
-            .expect("rhubarbrockd starts");
+        let child = Child::start_gateway(&name, &config::settings(&gateway_settings), stdout);
         let caller_address = SocketAddr::new(ip, first_port);
-        let mut gateway = Gateway { child: Child(child), caller_address, replica, sender: None };
+        let mut gateway = Gateway { child, caller_address, replica, sender: None };
         let started = Instant::now();
         while gateway.send("start", KEY).await != Some(StatusCode::OK) {
             assert!(started.elapsed() < START_TIMEOUT, "the gateway did not answer 200 in time");
--- a/rhubarbrockd/tests/gateway_memory.rs
+++ b/rhubarbrockd/tests/gateway_memory.rs
@@ -2,10 +2,8 @@
 
 mod child;
 
-use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
-use std::process::{Command, Stdio};
+use std::process::Stdio;
 use std::time::{Duration, Instant};
 
 use child::Child;
@@ -105,14 +103,6 @@
     start
 }
 
-/// Largest memory that a process has used so far, in MB.
-fn peak_mb(child: &Child) -> u64 {
-    let status = fs::read_to_string(format!("/proc/{}/status", child.0.id())).unwrap();
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
-    let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().unwrap();
-    kilobytes / 1024
-}
-
 async fn check(host: u8, place: Place) {
     let store = Store::default();
     let sound = Replica::start("sound").await;
@@ -120,24 +110,16 @@
     store.write_replica("sound", &sound.entry("desk", "ready", 1));
     let ip = Ipv4Addr::new(127, 91, (std::process::id() % 250) as u8, host).into();
     let first_port = config::free_ports(ip);
+    let name = format!("m{host}");
     let gateway_settings = config::GatewaySettings {
-        name: format!("m{host}"),
+        name: name.clone(),
         ip,
         first_port,
         store: store.start().await,
         max_delay_ms: 2_000,
     };
-    let settings_path =
-        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("memory-{host}.settings"));
     let settings = config::settings(&gateway_settings) + &config::memory_setting(MEMORY_MB);
-    fs::write(&settings_path, settings).unwrap();
-    let child = Command::new(env!("CARGO_BIN_EXE_rhubarbrockd"))
-        .arg("gateway")
-        .env(config::SETTINGS_VARIABLE, &settings_path)
-        .stdout(Stdio::null())
-        .spawn()
-        .expect("rhubarbrockd starts");
-    let mut child = Child(child);
+    let mut child = Child::start_gateway(&name, &settings, Stdio::null());
     let callers = SocketAddr::new(ip, first_port);
     let started = Instant::now();
     while !call(callers, "/order/1", "start".to_owned()).await.starts_with("HTTP/1.1 200") {
@@ -156,7 +138,7 @@
         answered += usize::from(request.await.unwrap().starts_with("HTTP/1.1 "));
     }
     assert!(child.exit_status().is_none(), "{place:?}: the process has ended");
-    let peak = peak_mb(&child);
+    let peak = child.memory_mb("VmHWM:");
     println!("{place:?}: {peak} MB");
     assert!(peak < MEMORY_MB, "{place:?}: {peak} MB");
     assert_eq!(answered, REQUESTS, "{place:?}");
