--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod http;
 mod memory;
 mod store;
+mod unread;
 mod writer;
 
 use std::path::PathBuf;
@@ -29,6 +30,7 @@
             match case.as_str() {
                 "crowd" => crowd::run(&folder, &scratch, has_trouble).await,
                 "deadly" => deadly::run(&folder, &scratch, has_trouble).await,
+                "unread" => unread::run(&folder, &scratch, has_trouble).await,
                 "memory" => memory::run(&folder, &scratch, has_trouble).await,
                 _ => None,
             }
--- a/review/standins-2/src/writer.rs
+++ b/review/standins-2/src/writer.rs
@@ -55,6 +55,8 @@
     events: u64,
     /// Time until a replica begins to write an answer.
     first_event_delay: Duration,
+    /// Text of an event.
+    event_text: String,
     seen: Arc<Mutex<Seen>>,
 }
 
@@ -74,7 +76,14 @@
         first_event_delay: Duration,
     ) -> Writers {
         let deadly_part = deadly_part.to_owned();
-        Writers { store, record, deadly_part, events, first_event_delay, seen: Arc::default() }
+        let (event_text, seen) = ("piece".to_owned(), Arc::default());
+        Writers { store, record, deadly_part, events, first_event_delay, event_text, seen }
+    }
+
+    /// Sets the text of an event, before the number of the event.
+    pub fn with_event_text(mut self, event_text: String) -> Writers {
+        self.event_text = event_text;
+        self
     }
 
     /// Starts one replica, which is started again after each crash.
@@ -204,7 +213,7 @@
         );
         write.write_all(head.as_bytes()).await?;
         for id in last.unwrap_or(0) + 1..=self.events {
-            let event = format!("id: {id}\ndata: piece {id}\n\n");
+            let event = format!("id: {id}\ndata: {} {id}\n\n", self.event_text);
             let chunk = format!("{:x}\r\n{event}\r\n", event.len());
             write.write_all(chunk.as_bytes()).await?;
             time::sleep(EVENT_PAUSE).await;
